--- /dev/null
+++ b/cmd/wirehost/main_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"strings"
+	"testing"
+)
+
+const settings = "instances=1\ntick=5000\nextra.slots=4\nlimits.max-open=10\nlimits.most-tries=3\nclasses.count=1\n" +
+	"classes.0.effect=free\nclasses.0.gain=1\nclasses.0.target=1000000\nclasses.0.hard-limit=2000000\n"
+
+func attach(who uint16, text string) []byte {
+	b := binary.LittleEndian.AppendUint16([]byte{16}, who)
+	b = binary.LittleEndian.AppendUint64(b, 1)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(text)))
+	return append(b, text...)
+}
+
+func frame(seq uint32, records ...[]byte) []byte {
+	body := bytes.Join(records, nil)
+	b := binary.LittleEndian.AppendUint32(nil, seq)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(body)))
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(records)))
+	b = binary.LittleEndian.AppendUint64(b, 1000)
+	return append(b, body...)
+}
+
+func TestRestartInOneBatchAndCleanEnd(t *testing.T) {
+	exit := []byte{25, 3, 0}
+	tick := append([]byte{22, 3, 0}, make([]byte, 8)...)
+	in := append(frame(1, attach(3, settings)), frame(2, tick, exit, attach(3, settings), tick)...)
+	var out bytes.Buffer
+	if err := serve(bytes.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if want := 24; out.Len() != want {
+		t.Errorf("%d bytes of reply, want two empty ones of 12", out.Len())
+	}
+}
+
+func TestBadSettingsAreFatalForTheInstance(t *testing.T) {
+	var out bytes.Buffer
+	in := frame(1, attach(3, strings.Replace(settings, "extra.slots=4\n", "", 1)), attach(4, settings))
+	if err := serve(bytes.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if b := out.Bytes(); b[12] != 25 || !strings.Contains(string(b), "extra.slots: missing") {
+		t.Errorf("reply %q", b)
+	}
+}
+
+func TestBadInputWritesNothing(t *testing.T) {
+	var out bytes.Buffer
+	if err := serve(bytes.NewReader(frame(1, []byte{99, 3, 0})), &out); err == nil || out.Len() > 0 {
+		t.Errorf("error %v, wrote %d bytes", err, out.Len())
+	}
+}
--- /dev/null
+++ b/control/rules_test.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// judge follows a Dispatcher from outside and holds what it does against the rules.
+type judge struct {
+	t     *testing.T
+	set   Settings
+	now   Time
+	msgs  map[MessageID]*judged
+	wait  map[int]Time      // until when a destination told to wait
+	ready map[Endpoint]bool // listed ready
+	calls map[[2]int64]int  // messages out by round and endpoint: one call
+	order map[uint64][]*judged
+	rest  map[uint64]Time
+	marks []Action
+	out   []*judged
+	open  []*judged // without a final answer
+}
+
+type judged struct {
+	id        MessageID
+	class     *Class
+	dest      int
+	key       uint64
+	deadline  Time
+	ended     bool
+	tries     int
+	ep        Endpoint
+	round     Time
+	out       bool
+	doubt     bool
+	doubtAt   Time
+	firstSent Time
+}
+
+func (j *judge) check(ok bool, m *judged, rule string) {
+	j.t.Helper()
+	if !ok {
+		j.t.Fatalf("at %d: %s: %+v", j.now, rule, *m)
+	}
+}
+
+func (j *judge) act(a Action) {
+	m := j.msgs[a.Message]
+	switch a.Kind {
+	case Timer:
+		if a.Mark != 0 {
+			a.After += j.now
+			j.marks = append(j.marks, a)
+		}
+		return
+	case Note, Close:
+		return
+	}
+	if m == nil {
+		j.t.Fatalf("acts for a message never taken: %+v", a)
+	}
+	switch a.Kind {
+	case Refuse, Fail:
+		j.check(!m.ended, m, "a second final answer")
+		maybe := (m.doubt || m.out) && m.class.Effect != Free
+		j.check(a.Kind == Fail || !maybe || m.class.Effect == Guarded, m, "handed back though it may have run")
+		m.ended = true
+	case Send:
+		j.send(m, a)
+	}
+}
+
+func (j *judge) send(m *judged, a Action) {
+	j.check(!m.ended && !m.out, m, "sent though ended or out")
+	j.check(j.ready[a.Endpoint] && int(a.Endpoint)/10 == m.dest, m, "sent to an endpoint not listed ready")
+	j.check(j.now >= j.wait[m.dest], m, "sent during a told wait")
+	j.check(m.tries < j.set.MaxTries && j.now < m.deadline, m, "sent too often or too late")
+	if m.doubt {
+		j.check(m.class.Effect != SingleShot, m, "unsafe message sent again in doubt")
+		j.check(m.class.Effect == Free || j.now < m.doubtAt+m.class.Window, m, "repeat past its window")
+	}
+	if m.key != 0 {
+		q := j.order[m.key]
+		for len(q) > 0 && q[0].ended && !q[0].out {
+			q = q[1:]
+		}
+		j.order[m.key] = q
+		j.check(q[0] == m, m, "out of order")
+		j.check(m.tries > 0 || j.now >= j.rest[m.key], m, "sent while its key rests")
+	}
+	m.tries++
+	m.out, m.ep, m.round, m.firstSent = true, a.Endpoint, j.now, j.now
+	j.calls[[2]int64{int64(j.now), int64(a.Endpoint)}]++
+	j.out = append(j.out, m)
+	j.check(len(j.calls) <= j.set.Slots, m, "more calls than slots")
+}
+
+// resolve makes the outcome of one attempt out and notes what it tells.
+func (j *judge) resolve(m *judged, res Result, wait Time) Event {
+	m.out = false
+	call := [2]int64{int64(m.round), int64(m.ep)}
+	if j.calls[call]--; j.calls[call] == 0 {
+		delete(j.calls, call)
+	}
+	switch res {
+	case OK:
+		m.ended = true
+	case Full:
+		if wait > 0 {
+			j.wait[m.dest] = max(j.wait[m.dest], j.now+wait)
+		}
+	case ConnectFailed:
+	default:
+		if !m.doubt {
+			m.doubt, m.doubtAt = true, m.firstSent
+		}
+		if m.key != 0 && res != Errored {
+			j.rest[m.key] = j.now + j.set.SettleAfterDoubt
+		}
+	}
+	return Event{Kind: Outcome, Message: m.id, Attempt: m.tries - 1, Endpoint: m.ep, Result: res, Closed: m.ended,
+		Lag: j.now - m.round, Wait: wait}
+}
+
+// Random events, legal and not, for several seeds: whatever comes, the rules hold and each message has one answer.
+func TestRulesHoldUnderRandomEvents(t *testing.T) {
+	for seed := range int64(12) {
+		play(t, seed)
+	}
+}
+
+func play(t *testing.T, seed int64) {
+	rng := rand.New(rand.NewSource(seed))
+	set := testSettings()
+	set.Slots, set.MaxOpen, set.Instances = 2+rng.Intn(8), 16+rng.Intn(60), 1+rng.Intn(40)
+	set.Tick = 20 * Millisecond
+	d, err := New(set, uint64(seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	j := &judge{t: t, set: set, msgs: map[MessageID]*judged{}, wait: map[int]Time{}, ready: map[Endpoint]bool{},
+		calls: map[[2]int64]int{}, order: map[uint64][]*judged{}, rest: map[uint64]Time{}}
+	sick := map[int]Result{}
+	for round := Time(0); round < 6000; round++ {
+		j.now = round * 20 * Millisecond
+		var events []Event
+		for dest := 1; dest <= 4; dest++ { // destinations fall ill and well
+			if rng.Intn(300) == 0 {
+				sick[dest] = Result(rng.Intn(int(Moot)))
+			}
+		}
+		if round == 0 || rng.Intn(100) == 0 {
+			e := entry(1+rng.Intn(4), rng.Intn(3), rng.Intn(2))
+			e.Health = Health(rng.Intn(3))
+			if round < 3 {
+				e.Health = Ready
+			}
+			j.ready[e.Endpoint] = e.Health == Ready
+			events = append(events, Event{Kind: List, Entries: []Entry{e}})
+		}
+		if round < 4500 && rng.Intn(4) == 0 {
+			events = append(events, j.arrival(rng))
+		}
+		rest := j.out[:0]
+		for _, m := range j.out {
+			res, lost := sick[m.dest], sick[m.dest] == TimedOut
+			switch {
+			case j.now >= m.deadline:
+				events = append(events, j.resolve(m, TimedOut, 0))
+			case lost || rng.Intn(10) > 0:
+				rest = append(rest, m)
+			case res == Full && rng.Intn(2) == 0:
+				events = append(events, j.resolve(m, Full, Time(rng.Intn(3000))*Millisecond))
+			default:
+				events = append(events, j.resolve(m, res, 0))
+			}
+		}
+		j.out = rest
+		j.marks = slices.DeleteFunc(j.marks, func(a Action) bool {
+			if j.now < a.After {
+				return false
+			}
+			events = append(events, Event{Kind: Tick, Mark: a.Mark})
+			return true
+		})
+		events = append(events, illegal(rng)...)
+		for _, a := range d.Step(j.now, events, nil) {
+			if a.Kind == Cancel {
+				j.cancel(a)
+				continue
+			}
+			j.act(a)
+		}
+		j.open = slices.DeleteFunc(j.open, func(m *judged) bool {
+			j.check(m.ended || j.now <= m.deadline, m, "no answer in time")
+			return m.ended
+		})
+	}
+	if len(d.msgs) > 0 || d.busy != 0 || d.open != 0 {
+		t.Errorf("seed %d: left %d messages, %d slots, %d open", seed, len(d.msgs), d.busy, d.open)
+	}
+}
+
+// cancel checks that what is called off is out; its outcome comes like any other, sometimes never before its time.
+func (j *judge) cancel(a Action) {
+	m := j.msgs[a.Message]
+	j.check(m != nil && m.out && m.tries-1 == a.Attempt, m, "cancels what is not out")
+}
+
+func (j *judge) arrival(rng *rand.Rand) Event {
+	class := rng.Intn(4)
+	m := &judged{id: MessageID(len(j.msgs) + 1), class: &j.set.Classes[class], dest: 1 + rng.Intn(4)}
+	grace := Time(1+rng.Intn(20)) * s
+	m.deadline = j.now + grace
+	if m.class.InOrder {
+		m.key = uint64(1 + m.dest)
+		j.order[m.key] = append(j.order[m.key], m)
+	}
+	j.msgs[m.id] = m
+	j.open = append(j.open, m)
+	return Event{Kind: Arrival, Message: m.id, Class: class, Dest: m.dest, Key: m.key, Grace: grace}
+}
+
+// illegal makes events that no honest caller sends: they must change nothing that the rules see.
+func illegal(rng *rand.Rand) []Event {
+	switch rng.Intn(8) {
+	case 0:
+		return []Event{done(MessageID(1e9), 0, Result(rng.Intn(9))), {Kind: Withdrawn, Message: 1e9}}
+	case 1:
+		return []Event{{Kind: Tick, Mark: 1e12}, {Kind: Probed, Endpoint: 999}, {Kind: EventKind(77)}}
+	case 2:
+		return []Event{done(MessageID(1+rng.Intn(50)), 90, OK), {Kind: List, ListKind: ListFailed}}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,321 @@
+package control
+
+// State that control.go decides with, and the plain upkeep of it. Nothing is decided here.
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// message is one message from arrival to its end and its last outcome.
+type message struct {
+	id                MessageID
+	class             *Class
+	dest              *dest
+	lane              int
+	key               *keyTurn
+	born, deadline    Time // when it was first handed in, when it is given up
+	arrived           uint64
+	over, held, ended bool
+	tries             int
+	out               *call
+	doubt             bool // an attempt may have run ...
+	doubtAt           Time // ... the first such was sent then ...
+	doubtZone         int  // ... to this zone
+}
+
+// call is one call out, holding a slot: a message, or several of one round.
+type call struct {
+	ep           *endpoint
+	sent         Time
+	msgs         []*message
+	left         int
+	trial, asked bool // a trial of a suspect; called off by us
+	idle         Time // how long the connection that it went out on had been idle, 0 if new or in use
+}
+
+// keyTurn orders the messages that share a key.
+type keyTurn struct {
+	key    uint64
+	queue  []*message
+	rest   Time
+	parked bool // in the list of those at rest
+}
+
+// endpoint is a place to send to, with its own health.
+type endpoint struct {
+	id                  Endpoint
+	dest                *dest
+	zone                int
+	health              Health
+	pace                *pace
+	calls               []*call // out, oldest first
+	open                bool    // a connection is thought open
+	used, heard, okSent Time    // last use; last answer; send time of the newest call answered ok
+	bad, errs           int     // calls in a row that met nobody or silence; answers in a row that were errors
+	suspect, proven     bool    // not fed; its last failure proved that calls do not run
+	dropped             Time    // idle age of the connection on which the last failed call went out
+	downAt, failedAt    Time    // while suspect: since when; when the last failure was known
+	trialAt, trialGap   Time    // next trial, and how long until the one after
+	coldAt              Time    // start of its ramp, 0 none
+	push, past          float64 // calls that the ramp permits now; demand seen when that was reckoned
+}
+
+// kind is what the destinations of one kind have in common.
+type kind struct {
+	lat    latency
+	keep   Time    // idle age up to which connections are known to hold
+	again  float64 // how often the call after a refusal went well
+	drops  float64 // share of calls on idle connections that failed where the next one went well
+	scarce Time    // until then connections are taken to be scarce
+}
+
+// latency is a running mean and deviation.
+type latency struct{ mean, dev, n float64 }
+
+func (l *latency) add(v, gain float64) {
+	l.n++
+	l.dev += gain * (math.Abs(v-l.mean) - l.dev)
+	l.mean += gain * (v - l.mean)
+}
+
+// pace is what bounds the rate to a destination, or to one route where routes are apart.
+type pace struct {
+	wait, at, cutAt, okAt, fullSince Time    // wait is told, or our own backoff
+	allow, bound, tokens             float64 // share of the own demand let go; listed or reported rate
+	past                             float64 // demand seen when the tokens were reckoned
+	streak, bad                      int     // refusals in a row; calls in a row that met nobody or silence, at all its endpoints
+	ok                               meter
+}
+
+// dest is a destination: its hold, turn counter, window and what was learned.
+type dest struct {
+	no            int
+	eps           []*endpoint
+	kind          *kind
+	pace          *pace
+	batch         int
+	live          bool // in the list of those with messages held or out
+	open          int  // messages owed an answer
+	share, acc    float64
+	lanes         [][]*message // by class and over-share, oldest first
+	held          int
+	w, wmax       int
+	starting      bool
+	ends, badEnds int
+	lat           latency
+	base          float64 // the long view of its latency
+	demand        meter
+	blocked       uint64 // round in which nothing more can go
+}
+
+// meter is a rate with exponential decay.
+type meter struct {
+	v, n        float64
+	at, tau, t0 Time
+}
+
+func (m *meter) add(now Time, n float64) {
+	m.v = m.v*math.Exp(-float64(now-m.at)/float64(m.tau)) + n
+	m.at = now
+	m.n += n
+}
+
+// credit is what was counted since the last look, smoothed by the decay; last is moved on.
+func (m *meter) credit(now Time, last *float64) float64 {
+	past := m.n - m.v*math.Exp(-float64(now-m.at)/float64(m.tau))
+	gone := past - *last
+	*last = past
+	return gone / m.span(now)
+}
+
+// span is the part of the memory that is filled.
+func (m *meter) span(now Time) float64 {
+	return 1 - math.Exp(-float64(now-m.t0+meterStart)/float64(m.tau))
+}
+
+// rate is per second; the start is corrected for the short history.
+func (m *meter) rate(now Time) float64 {
+	return m.v * math.Exp(-float64(now-m.at)/float64(m.tau)) / m.tau.seconds() / m.span(now)
+}
+
+func (t Time) seconds() float64 { return float64(t) / float64(Second) }
+
+// put adds a message to its lane, which is in order of arrival.
+func (t *dest) put(m *message) {
+	l := t.lanes[m.lane]
+	at := len(l)
+	for at > 0 && l[at-1].arrived > m.arrived {
+		at--
+	}
+	t.lanes[m.lane] = slices.Insert(l, at, m)
+	m.held = true
+	t.held++
+}
+
+// drop takes a message out of its lane, if it is in one.
+func (t *dest) drop(m *message) {
+	if !m.held {
+		return
+	}
+	l := t.lanes[m.lane]
+	i, _ := slices.BinarySearchFunc(l, m.arrived, func(o *message, n uint64) int { return cmp.Compare(o.arrived, n) })
+	t.lanes[m.lane] = slices.Delete(l, i, i+1)
+	t.held--
+	m.held = false
+}
+
+// rest takes a destination with nothing held or out off the list of live ones.
+func (t *dest) rest() bool {
+	t.live = t.held > 0 || t.w > 0
+	return !t.live
+}
+
+// trying tells whether a trial is out.
+func (ep *endpoint) trying() bool {
+	return slices.ContainsFunc(ep.calls, func(c *call) bool { return c.trial })
+}
+
+// ready counts the endpoints listed ready.
+func (t *dest) ready() (n int) {
+	for _, ep := range t.eps {
+		if ep.health == Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// random returns a number from 0 to 1, from the seed alone.
+func (d *Dispatcher) random() float64 {
+	d.rng ^= d.rng << 13
+	d.rng ^= d.rng >> 7
+	d.rng ^= d.rng << 17
+	return float64(d.rng>>11) / (1 << 53)
+}
+
+func (d *Dispatcher) newPace() *pace {
+	return &pace{at: d.now, tokens: 1, allow: unfelt, ok: meter{tau: rateTau, at: d.now, t0: d.now}}
+}
+
+func byAim(m *message, at Time) int { return cmp.Compare(m.born+m.class.Aim, at) }
+
+// worth is what delivering the message at t would earn.
+func (d *Dispatcher) worth(m *message, t Time) float64 {
+	c, v := m.class, m.class.Worth
+	if m.over {
+		v *= d.set.OverShare
+	}
+	late := t - m.born - c.Aim
+	switch {
+	case t >= m.deadline:
+		return 0
+	case late <= 0:
+		return v
+	case d.set.LateHalving:
+		return v * max(c.LateWorth, math.Exp2(-float64(late)/float64(max(c.Aim, 1))))
+	}
+	return v * (1 - (1-c.LateWorth)*float64(late)/float64(max(c.Deadline-c.Aim, 1)))
+}
+
+// tidy forgets what is of no more use: gone endpoints without calls, unlisted destinations and keys at rest.
+// A told wait binds until it is over, a drain while calls are out, and a key's rest while it lasts.
+func (d *Dispatcher) tidy() {
+	for _, t := range d.dests {
+		t.eps = slices.DeleteFunc(t.eps, func(ep *endpoint) bool {
+			old := ep.health == Gone && len(ep.calls) == 0 && ep.pace.wait <= d.now
+			if old {
+				delete(d.byID, ep.id)
+			}
+			return old
+		})
+	}
+	d.dests = slices.DeleteFunc(d.dests, func(t *dest) bool {
+		old := len(t.eps) == 0 && t.open == 0 && t.w == 0 && t.pace.wait <= d.now
+		if old {
+			delete(d.byNo, t.no)
+		}
+		return old
+	})
+	d.resting = slices.DeleteFunc(d.resting, func(k *keyTurn) bool {
+		old := len(k.queue) == 0 && k.rest <= d.now
+		if old {
+			delete(d.keys, k.key)
+		}
+		return old
+	})
+}
+
+// note tells the operators something, if nothing else was told lately.
+func (d *Dispatcher) note(t *dest, what string) {
+	if d.now >= d.noteAt {
+		d.noteAt = d.now + seldom
+		d.out = append(d.out, Action{Kind: Note, Text: fmt.Sprintf("destination %d %s", t.no, what)})
+	}
+}
+
+// dest returns a destination, making it when it is first heard of.
+func (d *Dispatcher) dest(no int) *dest {
+	t := d.byNo[no]
+	if t == nil {
+		t = &dest{no: no, batch: 1, share: 1, starting: true, lanes: make([][]*message, 2*len(d.set.Classes))}
+		t.kind = d.kinds[0]
+		t.pace = d.newPace()
+		t.demand = meter{tau: demandTau, at: d.now, t0: d.now}
+		d.byNo[no] = t
+		d.dests = append(d.dests, t)
+		d.started(t)
+	}
+	return t
+}
+
+// list takes a new endpoint list; what a whole list leaves out is gone.
+func (d *Dispatcher) list(e *Event) {
+	if e.ListKind == ListFailed {
+		return
+	}
+	if e.ListKind != ListDelta {
+		for _, t := range d.dests {
+			for _, ep := range t.eps {
+				ep.health = Gone
+			}
+		}
+	}
+	for i := range e.Entries {
+		d.entry(&e.Entries[i])
+	}
+	for _, t := range d.dests {
+		d.started(t)
+	}
+}
+
+func (d *Dispatcher) entry(n *Entry) {
+	t := d.dest(n.Dest)
+	apart := false
+	if n.Kind >= 0 && n.Kind < len(d.set.Kinds) {
+		t.kind = d.kinds[n.Kind]
+		t.batch, apart = d.set.Kinds[n.Kind].Batch, d.set.Kinds[n.Kind].RoutesApart
+	}
+	ep := d.byID[n.Endpoint]
+	if ep == nil {
+		ep = &endpoint{id: n.Endpoint, dest: t, pace: t.pace}
+		if apart {
+			ep.pace = d.newPace()
+		}
+		d.byID[n.Endpoint] = ep
+	}
+	if ep.dest != t {
+		return // an endpoint does not change its destination
+	}
+	if !slices.Contains(t.eps, ep) {
+		d.joined(t, ep)
+		t.eps = append(t.eps, ep)
+	}
+	ep.zone, ep.health = n.Zone, n.Health
+	if n.Weight > 0 && d.set.Weights != WeightNone {
+		t.share = n.Weight
+		ep.pace.bound = n.Weight * d.slack
+	}
+}
