--- /dev/null
+++ b/cmd/curlewmux/main.go
@@ -0,0 +1,44 @@
+// Command curlewmux is a dispatcher: it takes messages from clients and delivers them to the endpoints of their
+// destinations, as the decision module says. It is configured by the EDGE environment variables.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"whinrun/internal/node"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitConfig = 2
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	os.Exit(run(log))
+}
+
+func run(log *slog.Logger) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cfg, err := node.ReadConfig(os.Getenv)
+	if err != nil {
+		log.Error("can't start", "error", err)
+		return exitConfig
+	}
+	debug.SetMemoryLimit(cfg.Memory * 6 / 10)
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	if err := node.Run(ctx, cfg, log); err != nil {
+		log.Error("stopped", "error", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/control/api.go
+++ b/control/api.go
@@ -104,7 +104,7 @@
 
 // Kinds of event. The fields each one uses are in brackets.
 const (
-	Arrival   EventKind = iota + 1 // a new message [Message Class Tenant Dest Key Grace]
+	Arrival   EventKind = iota + 1 // a new message [Message Class Tenant Dest Key Grace Tries Doubt DoubtZone]
 	Outcome                        // an attempt ended [Message Attempt Endpoint Result Lag Closed Wait Report]
 	Started                        // a streamed answer began [Message Attempt Endpoint Lag]
 	Withdrawn                      // nobody wants the message any more [Message]
@@ -161,13 +161,19 @@
 
 // Event is something a Dispatcher is told.
 type Event struct {
-	Kind     EventKind
-	Message  MessageID
-	Class    int
-	Tenant   int
-	Dest     int
-	Key      uint64 // 0 is no key
-	Grace    Time   // time until the message is given up
+	Kind    EventKind
+	Message MessageID
+	Class   int
+	Tenant  int
+	Dest    int
+	Key     uint64 // 0 is no key
+	Grace   Time   // time until the message is given up
+
+	// What an arrival taken over from a journal has behind it; zero for a new message.
+	Tries     int  // attempts so far
+	Doubt     Time // how long ago the first attempt went out that may have run, 0 if there is none
+	DoubtZone int  // the zone it went to
+
 	Attempt  int
 	Endpoint Endpoint
 	Result   Result
--- a/control/control.go
+++ b/control/control.go
@@ -175,6 +175,9 @@
 	d.count++
 	m := &message{id: e.Message, class: c, dest: d.dest(e.Dest), arrived: d.count, deadline: d.now + e.Grace}
 	m.born = m.deadline - c.Deadline
+	if m.tries = e.Tries; e.Doubt > 0 {
+		m.doubt, m.doubtAt, m.doubtZone = true, d.now-e.Doubt, e.DoubtZone
+	}
 	m.over = d.overShare(e.Tenant)
 	m.lane = 2 * e.Class
 	if m.over {
@@ -194,10 +197,15 @@
 		}
 		m.key = k
 		k.queue = append(k.queue, m)
-		d.turn(k)
-		return
 	}
-	d.hold(m)
+	switch {
+	case d.spent(m): // taken over from a process that ended
+		d.finish(m, true)
+	case m.key != nil:
+		d.turn(m.key)
+	default:
+		d.hold(m)
+	}
 }
 
 // overShare tells whether a tenant now sends more than its share, measured against what comes here.
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,674 @@
+// Package node is the real dispatcher round the decision module: sockets, clocks and the journal. It decides nothing
+// that the module decides.
+package node
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"time"
+
+	"whinrun/control"
+)
+
+// A planned stop: the platform kills 3.7 s after SIGTERM at the soonest.
+const (
+	stopSending = 1700 * time.Millisecond // then calls go on that are out, and none starts
+	stopTaking  = 2900 * time.Millisecond // then clients are let go, each with its answer
+	stopClients = 400 * time.Millisecond  // for those whose request is just being read
+)
+
+const (
+	firstList   = time.Second // how long the first list from discovery is waited for before the cached one must do
+	epoch       = 1000 * control.Second
+	turnedAway  = time.Second // what a client is told when there is no room
+	otherFiles  = 32          // descriptors that are neither a client's nor a call's
+	maintenance = 10 * time.Second
+)
+
+// endpoint is one that the list names or named.
+type endpoint struct {
+	num        control.Endpoint
+	id, addr   string
+	dest, zone int
+	kind       int
+	health     control.Health
+	flights    int
+	wait       time.Time // told wait, where routes are apart
+}
+
+// message is one that was taken on and has not ended.
+type message struct {
+	*entry
+	num           control.MessageID
+	class, tenant int
+	attempts      int
+	over          bool // delivered, or the module gave its final answer
+}
+
+// flight is a call out.
+type flight struct {
+	ep        *endpoint
+	msgs      []*message
+	attempts  []int
+	cancelled []bool
+	done      []bool
+	sent      time.Time
+	cancel    context.CancelFunc
+	items     []item
+}
+
+type ended struct {
+	flight *flight
+	outs   []outcome
+}
+
+type question struct {
+	flight *flight
+	answer chan []bool
+}
+
+type timer struct {
+	at   control.Time
+	mark uint64
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	x := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return x
+}
+
+// loop owns the Dispatcher and all bookkeeping; one goroutine runs it and the others talk to it by channels.
+type loop struct {
+	cfg   *Config
+	set   *control.Settings
+	log   *slog.Logger
+	d     *control.Dispatcher
+	j     *journal
+	pool  *pool
+	start time.Time
+
+	takes   chan *intake
+	ends    chan ended
+	asks    chan question
+	rosters chan *Roster
+	notices chan []*notice
+	through chan []*notice
+	quit    chan struct{} // closed when nobody may talk to the loop any more
+
+	events  []control.Event
+	actions []control.Action
+	timers  timers
+	stepped control.Time // when the last Step was
+	first   control.Time // when the Step is due that handles the events queued
+	nextNum uint64
+	open    int // messages owed an answer
+	held    map[string]*message
+	byNum   map[control.MessageID]*message
+	past    map[string]time.Time // ids that ended, until their time is up
+	eps     map[string]*endpoint
+	byEp    map[control.Endpoint]*endpoint
+	waits   map[int]time.Time // told waits by destination
+	pending []*notice
+	frozen  bool             // stopping: no more Steps
+	flights map[*flight]bool // calls out
+	tidied  time.Time
+	warned  time.Time
+}
+
+func newLoop(cfg *Config, j *journal, log *slog.Logger) (*loop, error) {
+	d, err := control.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	l := &loop{
+		cfg: cfg, set: &cfg.Settings, log: log, d: d, j: j, start: time.Now(),
+		takes: make(chan *intake), ends: make(chan ended), asks: make(chan question), rosters: make(chan *Roster),
+		notices: make(chan []*notice), through: make(chan []*notice), quit: make(chan struct{}),
+		held: map[string]*message{}, byNum: map[control.MessageID]*message{}, past: map[string]time.Time{},
+		eps: map[string]*endpoint{}, byEp: map[control.Endpoint]*endpoint{}, waits: map[int]time.Time{},
+		flights: map[*flight]bool{},
+	}
+	l.pool = newPool(l.set, cfg.Reports, cfg.Sockets/4)
+	return l, nil
+}
+
+// Run is a dispatcher from its start until ctx ends and it has stopped in good order.
+func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+	j, err := openJournal(cfg.State, cfg.Disk, log)
+	if err != nil {
+		return err
+	}
+	defer j.close()
+	l, err := newLoop(cfg, j, log)
+	if err != nil {
+		return err
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("EDGE_LISTEN: %w", err)
+	}
+	most := cfg.Sockets - cfg.Sockets/4 - l.set.Slots - otherFiles
+	if most < 1 {
+		return errors.Join(fmt.Errorf("limits.sockets: %d leaves none for clients", cfg.Sockets), listener.Close())
+	}
+	c := newClients(l.set, l.takes, l.quit, log)
+	agent := newAgent(cfg.Discovery, log)
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	failed := make(chan error, 1)
+	go func() { failed <- c.serve(listener, most) }()
+	go agent.watch(background, func(r *Roster) {
+		select {
+		case l.rosters <- r:
+		case <-l.quit:
+		}
+	})
+	go agent.report(background, l.notices, func(n []*notice) {
+		select {
+		case l.through <- n:
+		case <-l.quit:
+		}
+	})
+	ready := func() {
+		c.ready.Store(true)
+		log.Info("ready", "name", cfg.Name, "held", l.open, "endpoints", len(l.eps))
+	}
+	freeze := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.run(ready, freeze)
+	}()
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		log.Info("stopping")
+		sleep(background, stopSending)
+		close(freeze)
+		c.closing.Store(true)
+		sleep(background, stopTaking-stopSending)
+		limit, cancel := context.WithTimeout(background, stopClients)
+		err = c.server.Shutdown(limit)
+		cancel()
+	}
+	close(l.quit)
+	<-done
+	log.Info("stopped", "held", l.open, "out", len(l.flights))
+	return err
+}
+
+// run is the loop itself. Until the first list has come, or for a moment, only that is listened to.
+func (l *loop) run(ready func(), freeze <-chan struct{}) {
+	if l.cfg.Known != nil {
+		r := *l.cfg.Known
+		r.kind = control.ListCached
+		l.roster(&r)
+	}
+	// The cached list may be old: what was told to drain since must get nothing new.
+	wait := time.NewTimer(firstList)
+	for first := true; first; {
+		select {
+		case r := <-l.rosters:
+			l.roster(r)
+			first = r.kind == control.ListFailed
+		case <-wait.C:
+			first = false
+		case <-l.quit:
+			return
+		}
+	}
+	wait.Stop()
+	l.restore()
+	ready()
+	clock := time.NewTimer(0)
+	defer clock.Stop()
+	for {
+		var notices chan []*notice
+		if len(l.pending) > 0 {
+			notices = l.notices
+		}
+		if at, ok := l.due(); ok {
+			clock.Reset(span(at - l.now()))
+		} else {
+			clock.Reset(maintenance)
+		}
+		select {
+		case in := <-l.takes:
+			in.reply <- l.take(in)
+		case e := <-l.ends:
+			l.ended(e)
+		case q := <-l.asks:
+			q.answer <- l.may(q.flight)
+		case r := <-l.rosters:
+			l.roster(r)
+		case notices <- l.pending:
+			l.pending = nil
+		case list := <-l.through:
+			l.reported(list)
+		case <-freeze:
+			l.frozen, freeze = true, nil
+		case <-l.quit:
+			return
+		case <-clock.C:
+			if at, ok := l.due(); ok && at <= l.now() {
+				l.step()
+			}
+			l.tidy()
+		}
+	}
+}
+
+// now is the module's time: monotonic.
+func (l *loop) now() control.Time { return epoch + control.Time(time.Since(l.start).Microseconds()) }
+
+// due tells when the next Step is wanted: on the grid of ticks, so that what comes within one tick is decided
+// together and messages to one endpoint share a call.
+func (l *loop) due() (control.Time, bool) {
+	if l.frozen || len(l.events) == 0 && len(l.timers) == 0 {
+		return 0, false
+	}
+	tick := l.set.Tick
+	next := (l.stepped/tick + 1) * tick
+	at := l.first
+	if len(l.timers) > 0 {
+		if t := (l.timers[0].at + tick - 1) / tick * tick; len(l.events) == 0 || t < at {
+			at = t
+		}
+	}
+	return max(at, next), true
+}
+
+// event queues what the module is told at the next Step.
+func (l *loop) event(e control.Event) {
+	if len(l.events) == 0 {
+		l.first = (l.now()/l.set.Tick + 1) * l.set.Tick
+	}
+	l.events = append(l.events, e)
+}
+
+// take takes a message on, once the journal has it.
+func (l *loop) take(in *intake) verdict {
+	id := in.entry.id
+	if _, old := l.past[id]; old || l.held[id] != nil {
+		return verdict{status: 202} // a client that lost the answer sent the same request again
+	}
+	if l.open >= l.set.MaxOpen {
+		return verdict{status: 503, again: turnedAway, why: "holding as many messages as it may"}
+	}
+	if err := l.j.take(in.entry); err != nil {
+		l.warn("no message can be taken on", err)
+		return verdict{status: 503, again: turnedAway, why: "the journal has no room"}
+	}
+	l.admit(l.j.live[id], in.class, in.tenant)
+	return verdict{status: 202}
+}
+
+// admit tells the module of a message.
+func (l *loop) admit(e *entry, class, tenant int) {
+	l.nextNum++
+	m := &message{entry: e, num: control.MessageID(l.nextNum), class: class, tenant: tenant, attempts: e.tries}
+	l.held[e.id], l.byNum[m.num] = m, m
+	l.open++
+	ev := control.Event{
+		Kind: control.Arrival, Message: m.num, Class: class, Tenant: tenant, Dest: e.dest, Tries: e.tries,
+	}
+	if !e.doubtAt.IsZero() {
+		ev.Doubt = max(control.Time(time.Since(e.doubtAt).Microseconds()), 1)
+		ev.DoubtZone = e.doubtZone
+	}
+	l.event(ev)
+}
+
+// restore takes up what the journal holds from an earlier process.
+func (l *loop) restore() {
+	for _, e := range l.j.entries() {
+		class, tenant := classOf(l.set, e.class), tenantOf(l.set, e.tenant)
+		switch {
+		case e.owed != nil:
+			l.pending = append(l.pending, e.owed)
+		case class < 0: // no longer among the settings: the module can't judge it
+			l.log.Error("a journalled message is of an unknown class and is given up", "id", e.id, "class", e.class)
+			l.owe(&notice{id: e.id, deferred: e.doubtAt.IsZero()})
+		default:
+			l.admit(e, class, tenant)
+		}
+	}
+}
+
+// roster takes what discovery tells and passes it on to the module.
+func (l *loop) roster(r *Roster) {
+	ev := control.Event{Kind: control.List, ListKind: r.kind}
+	if r.kind == control.ListCached || r.kind == control.ListFull {
+		for _, ep := range l.eps {
+			ep.health = control.Gone
+		}
+	}
+	for _, m := range r.Members {
+		ep := l.eps[m.ID]
+		if ep == nil {
+			l.nextNum++
+			ep = &endpoint{id: m.ID, num: control.Endpoint(l.nextNum), dest: m.Cell}
+			l.eps[m.ID], l.byEp[ep.num] = ep, ep
+		}
+		if m.HostPort != "" {
+			if ep.addr != m.HostPort {
+				l.pool.closeIdle(ep.addr)
+			}
+			ep.addr = m.HostPort
+		}
+		ep.zone, ep.kind = slices.Index(l.cfg.Zones, plain(m.Locality)), slices.IndexFunc(l.set.Kinds, func(k control.Kind) bool { return k.Name == plain(m.Flavor) })
+		switch m.Phase {
+		case "active":
+			ep.health = control.Ready
+		case "left":
+			ep.health = control.Gone
+		default:
+			ep.health = control.Draining
+		}
+		if ep.zone < 0 || ep.kind < 0 {
+			l.log.Warn("discovery names an unknown zone or kind", "endpoint", m.ID, "zone", m.Locality, "kind", m.Flavor)
+		}
+		ev.Entries = append(ev.Entries, control.Entry{
+			Endpoint: ep.num, Dest: m.Cell, Zone: ep.zone, Kind: ep.kind, Health: ep.health, Weight: m.Size,
+		})
+	}
+	for id, ep := range l.eps {
+		if ep.health == control.Gone {
+			l.pool.closeIdle(ep.addr)
+			if ep.flights == 0 {
+				delete(l.eps, id)
+				delete(l.byEp, ep.num)
+			}
+		}
+	}
+	l.event(ev)
+}
+
+// step is one round of the module.
+func (l *loop) step() {
+	now := l.now()
+	l.stepped = now
+	for len(l.timers) > 0 && l.timers[0].at <= now {
+		l.events = append(l.events, control.Event{Kind: control.Tick, Mark: heap.Pop(&l.timers).(timer).mark})
+	}
+	for i := range l.events {
+		if e := &l.events[i]; e.Kind == control.Arrival {
+			e.Grace = control.Time(time.Until(l.byNum[e.Message].deadline).Microseconds())
+		}
+	}
+	l.actions = l.d.Step(now, l.events, l.actions[:0])
+	l.events = l.events[:0]
+	var flights []*flight
+	for _, a := range l.actions {
+		switch a.Kind {
+		case control.Send:
+			flights = l.board(flights, a)
+		case control.Refuse, control.Fail:
+			l.giveUp(a)
+		case control.Cancel:
+			l.cancelled(a)
+		case control.Timer:
+			heap.Push(&l.timers, timer{now + a.After, a.Mark})
+		case control.Close:
+			if ep := l.byEp[a.Endpoint]; ep != nil {
+				l.pool.closeIdle(ep.addr)
+			}
+		case control.Note:
+			l.log.Info("module: " + a.Text)
+		case control.Probe: // the module asks for none
+		}
+	}
+	l.launch(flights)
+}
+
+// board adds a send to the calls of this Step: those to one endpoint share one, up to the limit of its kind.
+func (l *loop) board(flights []*flight, a control.Action) []*flight {
+	m, ep := l.byNum[a.Message], l.byEp[a.Endpoint]
+	if m == nil || ep == nil {
+		l.log.Error("the module sends what is not known", "message", a.Message, "endpoint", a.Endpoint)
+		return flights
+	}
+	most := 1
+	if ep.kind >= 0 {
+		most = l.set.Kinds[ep.kind].Batch
+	}
+	i := slices.IndexFunc(flights, func(f *flight) bool { return f.ep == ep && len(f.msgs) < most })
+	if i < 0 {
+		i = len(flights)
+		flights = append(flights, &flight{ep: ep})
+	}
+	f := flights[i]
+	it := item{id: m.id, key: m.key, body: m.body, due: m.deadline}
+	if at := time.Now().Add(span(a.After)); a.After > 0 && at.Before(it.due) {
+		it.due = at
+	}
+	f.msgs = append(f.msgs, m)
+	f.attempts = append(f.attempts, m.attempts)
+	f.items = append(f.items, it)
+	m.attempts++
+	return flights
+}
+
+// launch journals the attempts of a Step and starts its calls.
+func (l *loop) launch(flights []*flight) {
+	if len(flights) == 0 {
+		return
+	}
+	var list []attempt
+	for _, f := range flights {
+		for _, m := range f.msgs {
+			list = append(list, attempt{m.id, f.ep.zone})
+		}
+	}
+	now := time.Now()
+	err := l.j.out(now, list)
+	if err != nil {
+		l.warn("no attempt can be journalled, so none is made", err)
+	}
+	for _, f := range flights {
+		f.sent = now
+		f.cancelled, f.done = make([]bool, len(f.msgs)), make([]bool, len(f.msgs))
+		f.ep.flights++
+		l.flights[f] = true
+		ctx, cancel := context.WithCancel(context.Background())
+		f.cancel = cancel
+		if err != nil {
+			outs := make([]outcome, len(f.msgs))
+			for i := range outs {
+				outs[i] = outcome{index: i, result: control.Moot}
+			}
+			l.ended(ended{f, outs})
+			continue
+		}
+		k := &call{addr: f.ep.addr, items: f.items, hooks: callHooks{
+			may: func() []bool {
+				q := question{f, make(chan []bool, 1)}
+				select {
+				case l.asks <- q:
+					return <-q.answer
+				case <-l.quit:
+					return make([]bool, len(f.items))
+				}
+			},
+			ends: func(outs []outcome) {
+				select {
+				case l.ends <- ended{f, outs}:
+				case <-l.quit:
+				}
+			},
+		}}
+		go l.pool.run(ctx, k)
+	}
+}
+
+// may tells which messages of a call may still be written, now that a connection has come up.
+func (l *loop) may(f *flight) []bool {
+	now := time.Now()
+	wait := l.waits[f.ep.dest]
+	if l.apart(f.ep) {
+		wait = f.ep.wait
+	}
+	ok := make([]bool, len(f.msgs))
+	for i, m := range f.msgs {
+		ok[i] = !l.frozen && f.ep.health == control.Ready && !now.Before(wait) && !m.over && !f.cancelled[i] && now.Before(f.items[i].due)
+	}
+	return ok
+}
+
+func (l *loop) apart(ep *endpoint) bool { return ep.kind >= 0 && l.set.Kinds[ep.kind].RoutesApart }
+
+// ended tells the module how attempts ended.
+func (l *loop) ended(e ended) {
+	f := e.flight
+	now := time.Now()
+	for _, o := range e.outs {
+		m := f.msgs[o.index]
+		f.done[o.index] = true
+		if until := now.Add(o.wait); o.wait > 0 {
+			if l.apart(f.ep) {
+				f.ep.wait = later(f.ep.wait, until)
+			} else {
+				l.waits[f.ep.dest] = later(l.waits[f.ep.dest], until)
+			}
+		}
+		ran := o.result != control.Full && o.result != control.ConnectFailed && o.result != control.Moot
+		switch {
+		case o.result == control.OK || o.over:
+			l.settle(m)
+		case !ran && m.unproven && l.j.live[m.id] != nil:
+			if err := l.j.notRun(m.id); err != nil {
+				l.warn("an outcome can't be journalled", err)
+			}
+		}
+		l.event(control.Event{
+			Kind: control.Outcome, Message: m.num, Attempt: f.attempts[o.index], Endpoint: f.ep.num, Result: o.result,
+			Closed: o.result == control.OK || o.over, Lag: control.Time(now.Sub(f.sent).Microseconds()),
+			Wait: control.Time(o.wait.Microseconds()), Report: o.report,
+		})
+	}
+	if !slices.Contains(f.done, false) {
+		f.cancel()
+		f.ep.flights--
+		delete(l.flights, f)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// settle ends a message for which nothing more is owed.
+func (l *loop) settle(m *message) {
+	if !m.over {
+		m.over = true
+		l.open--
+	}
+	l.forget(m.id)
+}
+
+// forget ends messages in the journal and remembers their ids for as long as they may come again.
+func (l *loop) forget(ids ...string) {
+	ids = slices.DeleteFunc(ids, func(id string) bool { return l.j.live[id] == nil })
+	if len(ids) == 0 {
+		return
+	}
+	for _, id := range ids {
+		l.past[id] = l.j.live[id].deadline
+		if m := l.held[id]; m != nil {
+			delete(l.held, id)
+			delete(l.byNum, m.num)
+		}
+	}
+	if err := l.j.end(ids...); err != nil {
+		l.warn("the end of a message can't be journalled", err)
+	}
+}
+
+// giveUp passes the module's final answer on at once.
+func (l *loop) giveUp(a control.Action) {
+	m := l.byNum[a.Message]
+	if m == nil || m.over {
+		return
+	}
+	m.over = true
+	l.open--
+	l.owe(&notice{id: m.id, deferred: a.Kind == control.Refuse, again: span(a.After)})
+}
+
+// owe journals a notice and queues it.
+func (l *loop) owe(n *notice) {
+	if err := l.j.owe(n); err != nil {
+		l.warn("a notice can't be journalled", err)
+	}
+	l.pending = append(l.pending, n)
+}
+
+// reported ends the messages whose notices the platform has.
+func (l *loop) reported(list []*notice) {
+	ids := make([]string, len(list))
+	for i, n := range list {
+		ids[i] = n.id
+	}
+	l.forget(ids...)
+}
+
+// cancelled calls an attempt off. A message that shares its call with others that go on keeps it: at the endpoint it
+// is still out, and its outcome, when the call ends, is the true one.
+func (l *loop) cancelled(a control.Action) {
+	for f := range l.flights {
+		for i, m := range f.msgs {
+			if m.num == a.Message && f.attempts[i] == a.Attempt {
+				f.cancelled[i] = true
+			}
+		}
+		all := true
+		for i := range f.msgs {
+			all = all && (f.done[i] || f.cancelled[i])
+		}
+		if all {
+			f.cancel()
+		}
+	}
+}
+
+// tidy forgets what is of no more use.
+func (l *loop) tidy() {
+	now := time.Now()
+	if now.Sub(l.tidied) < maintenance {
+		return
+	}
+	l.tidied = now
+	for id, until := range l.past {
+		if now.After(until) {
+			delete(l.past, id)
+		}
+	}
+	for dest, until := range l.waits {
+		if now.After(until) {
+			delete(l.waits, dest)
+		}
+	}
+}
+
+// warn tells the operators of a lasting fault, now and then.
+func (l *loop) warn(what string, err error) {
+	if now := time.Now(); now.Sub(l.warned) > time.Second {
+		l.warned = now
+		l.log.Error(what, "error", err)
+	}
+}
