--- a/control/api.go
+++ b/control/api.go
@@ -104,7 +104,7 @@
 
 // Kinds of event. The fields each one uses are in brackets.
 const (
-	Arrival   EventKind = iota + 1 // a new message [Message Class Tenant Dest Key Grace Tries Doubt DoubtZone]
+	Arrival   EventKind = iota + 1 // a new message [Message Class Tenant Dest Key Grace; Restored Tries Doubt DoubtZone]
 	Outcome                        // an attempt ended [Message Attempt Endpoint Result Lag Closed Wait Report]
 	Started                        // a streamed answer began [Message Attempt Endpoint Lag]
 	Withdrawn                      // nobody wants the message any more [Message]
@@ -170,6 +170,7 @@
 	Grace   Time   // time until the message is given up
 
 	// What an arrival taken over from a journal has behind it; zero for a new message.
+	Restored  bool // an earlier process took it on: it is not demand of now
 	Tries     int  // attempts so far
 	Doubt     Time // how long ago the first attempt went out that may have run, 0 if there is none
 	DoubtZone int  // the zone it went to
--- a/control/control.go
+++ b/control/control.go
@@ -178,7 +178,11 @@
 	if m.tries = e.Tries; e.Doubt > 0 {
 		m.doubt, m.doubtAt, m.doubtZone = true, d.now-e.Doubt, e.DoubtZone
 	}
-	m.over = d.overShare(e.Tenant)
+	age := Time(0)
+	if e.Restored { // what was held does not all come now: it would swell the demand that ramps are sized by
+		age = max(d.now-m.born, 0)
+	}
+	m.over = d.overShare(e.Tenant, age)
 	m.lane = 2 * e.Class
 	if m.over {
 		m.lane++
@@ -186,7 +190,7 @@
 	d.msgs[m.id] = m
 	d.open++
 	m.dest.open++
-	m.dest.demand.add(d.now, 1)
+	m.dest.demand.came(d.now, age)
 	// The answer leaves before the time is up, one round early for rounding.
 	d.out = append(d.out, Action{Kind: Timer, After: max(e.Grace-2*d.set.Tick, 0), Mark: uint64(m.id) + 1})
 	if c.InOrder && e.Key != 0 {
@@ -209,12 +213,12 @@
 }
 
 // overShare tells whether a tenant now sends more than its share, measured against what comes here.
-func (d *Dispatcher) overShare(t int) bool {
-	d.all.add(d.now, 1)
+func (d *Dispatcher) overShare(t int, age Time) bool {
+	d.all.came(d.now, age)
 	if t < 0 || t >= len(d.tenants) || d.quota <= 0 {
 		return false
 	}
-	d.tenants[t].add(d.now, 1)
+	d.tenants[t].came(d.now, age)
 	part := max(1/float64(d.set.Instances), d.all.rate(d.now)/d.quota)
 	return d.tenants[t].rate(d.now) > d.set.Tenants[t].Quota*part*overMargin
 }
--- a/control/state.go
+++ b/control/state.go
@@ -123,6 +123,14 @@
 	m.n += n
 }
 
+// came counts one that came so long ago, as far as it is still remembered.
+func (m *meter) came(now, age Time) {
+	if age > 0 {
+		m.t0 = min(m.t0, now-age)
+	}
+	m.add(now, math.Exp(-float64(age)/float64(m.tau)))
+}
+
 // credit is what was counted since the last look, smoothed by the decay; last is moved on.
 func (m *meter) credit(now Time, last *float64) float64 {
 	past := m.n - m.v*math.Exp(-float64(now-m.at)/float64(m.tau))
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -306,14 +306,14 @@
 			return
 		case <-ctx.Done():
 			timer.Stop()
-			c.Close()
+			p.silent(c)
 			k.end(outcome{result: control.Cancelled})
 			return
 		case <-timer.C:
 			// The others of a batch go on; an item past its time is never sent again, so no second copy can arise.
 			late := k.due(time.Now())
 			if k.count() == len(late) {
-				c.Close()
+				p.silent(c)
 			}
 			for _, i := range late {
 				k.endOne(i, outcome{result: control.TimedOut})
@@ -322,6 +322,13 @@
 	}
 }
 
+// silent closes a connection that gave no answer, and the idle ones beside it: if the machine has vanished they are
+// as dead, and a request written to one of them would end in doubt when it is back.
+func (p *pool) silent(c *conn) {
+	c.Close()
+	p.closeIdle(c.addr)
+}
+
 func (p *pool) answered(k *call, c *conn, sent []int, a answer) {
 	if a.keep {
 		p.put(c)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -178,8 +178,11 @@
 		if text[at] == 'c' && text[at+1] == 'm' && n <= maxRecord && n <= len(text)-at-recordHead {
 			payload := text[at+recordHead:][:n]
 			sum := binary.LittleEndian.Uint32(text[at+6:])
-			if sum == crc32.Checksum(payload, crc32.MakeTable(crc32.Castagnoli)) && apply(payload) == nil {
+			if sum == crc32.Checksum(payload, crc32.MakeTable(crc32.Castagnoli)) {
 				bad += at - good
+				if apply(payload) != nil { // whole, but of no known form: what looks like a record inside is none
+					bad += recordHead + n
+				}
 				at += recordHead + n
 				good = at
 				continue
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -18,7 +18,8 @@
 // A planned stop: the platform kills 3.7 s after SIGTERM at the soonest.
 const (
 	stopSending = 1700 * time.Millisecond // then calls go on that are out, and none starts
-	stopTaking  = 2900 * time.Millisecond // then clients are let go, each with its answer
+	stopKeeping = 2500 * time.Millisecond // then each answer ends its connection, so that few are cut off idle
+	stopTaking  = 2900 * time.Millisecond // then the rest of the clients are let go
 	stopClients = 400 * time.Millisecond  // for those whose request is just being read
 )
 
@@ -197,10 +198,13 @@
 		log.Info("stopping")
 		sleep(background, stopSending)
 		close(freeze)
+		sleep(background, stopKeeping-stopSending)
 		c.closing.Store(true)
-		sleep(background, stopTaking-stopSending)
+		sleep(background, stopTaking-stopKeeping)
 		limit, cancel := context.WithTimeout(background, stopClients)
-		err = c.server.Shutdown(limit)
+		if late := c.server.Shutdown(limit); late != nil {
+			log.Warn("clients were still sending", "error", late)
+		}
 		cancel()
 	}
 	close(l.quit)
@@ -311,18 +315,19 @@
 		l.warn("no message can be taken on", err)
 		return verdict{status: 503, again: turnedAway, why: "the journal has no room"}
 	}
-	l.admit(l.j.live[id], in.class, in.tenant)
+	l.admit(l.j.live[id], in.class, in.tenant, false)
 	return verdict{status: 202}
 }
 
 // admit tells the module of a message.
-func (l *loop) admit(e *entry, class, tenant int) {
+func (l *loop) admit(e *entry, class, tenant int, restored bool) {
 	l.nextNum++
 	m := &message{entry: e, num: control.MessageID(l.nextNum), class: class, tenant: tenant, attempts: e.tries}
 	l.held[e.id], l.byNum[m.num] = m, m
 	l.open++
 	ev := control.Event{
 		Kind: control.Arrival, Message: m.num, Class: class, Tenant: tenant, Dest: e.dest, Tries: e.tries,
+		Restored: restored,
 	}
 	if !e.doubtAt.IsZero() {
 		ev.Doubt = max(control.Time(time.Since(e.doubtAt).Microseconds()), 1)
@@ -342,7 +347,7 @@
 			l.log.Error("a journalled message is of an unknown class and is given up", "id", e.id, "class", e.class)
 			l.owe(&notice{id: e.id, deferred: e.doubtAt.IsZero()})
 		default:
-			l.admit(e, class, tenant)
+			l.admit(e, class, tenant, true)
 		}
 	}
 }
@@ -368,7 +373,8 @@
 			}
 			ep.addr = m.HostPort
 		}
-		ep.zone, ep.kind = slices.Index(l.cfg.Zones, plain(m.Locality)), slices.IndexFunc(l.set.Kinds, func(k control.Kind) bool { return k.Name == plain(m.Flavor) })
+		ep.zone = slices.Index(l.cfg.Zones, plain(m.Locality))
+		ep.kind = slices.IndexFunc(l.set.Kinds, func(k control.Kind) bool { return k.Name == plain(m.Flavor) })
 		switch m.Phase {
 		case "active":
 			ep.health = control.Ready
