--- /dev/null
+++ b/internal/node/restart_test.go
@@ -0,0 +1,239 @@
+package node
+
+import (
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Each test kills the real program at one step of the journal and starts it again with nothing but its folder.
+
+func TestKilledAfterTakingOn(t *testing.T) {
+	w := newWorld(t)
+	cmd := w.spawn()
+	for _, class := range []string{"unsafe", "keyed", "free"} {
+		w.hand(class, class+"1", 3) // nobody serves the destination yet
+	}
+	w.kill(cmd)
+	w.endpoint("e", 3, "hooks", respond(200))
+	w.spawn()
+	for _, class := range []string{"unsafe", "keyed", "free"} {
+		w.awaitCalls(class+"1", 1)
+	}
+	w.awaitEmpty()
+	for _, class := range []string{"unsafe", "keyed", "free"} {
+		if n := w.called(class + "1"); n != 1 {
+			t.Errorf("%s: %d calls, want one", class, n)
+		}
+	}
+}
+
+// A call that was out may have run: an unsafe message must not be sent again and promises nothing, the others go on.
+func TestKilledWithACallOut(t *testing.T) {
+	w := newWorld(t)
+	old := w.endpoint("e", 3, "hooks", stuck)
+	cmd := w.spawn()
+	for _, class := range []string{"unsafe", "keyed", "free"} {
+		w.hand(class, class+"1", 3)
+		w.awaitCalls(class+"1", 1)
+	}
+	w.kill(cmd)
+	old.Phase = "left"
+	w.tell(old)
+	w.endpoint("f", 3, "hooks", respond(200))
+	w.spawn()
+	w.awaitNotice("unsafe1", "undeliverable")
+	w.awaitCalls("keyed1", 2)
+	w.awaitCalls("free1", 2)
+	w.awaitEmpty()
+	if n := w.called("unsafe1"); n != 1 {
+		t.Errorf("the unsafe message was called %d times", n)
+	}
+}
+
+// A keyed message is sent again only while its destination remembers the key.
+func TestKilledWithAKeyedCallOutForLongerThanItsWindow(t *testing.T) {
+	w := newWorld(t)
+	w.window = 300_000
+	w.endpoint("e", 3, "hooks", stuck)
+	cmd := w.spawn()
+	w.hand("keyed", "k", 3)
+	w.awaitCalls("k", 1)
+	w.kill(cmd)
+	sent := time.Now()
+	waitFor(t, func() bool { return time.Since(sent) > 300*time.Millisecond })
+	w.spawn()
+	w.awaitNotice("k", "deferred") // handing it in again is for the client to time
+	if n := w.called("k"); n != 1 {
+		t.Errorf("%d calls, the second past the window", n)
+	}
+}
+
+// An attempt that provably never ran leaves no doubt, also over a restart.
+func TestKilledAfterARefusal(t *testing.T) {
+	w := newWorld(t)
+	old := w.endpoint("e", 3, "hooks", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Retry-After", "50")
+		rw.WriteHeader(429)
+	})
+	cmd := w.spawn()
+	w.hand("unsafe", "u", 3)
+	waitFor(t, func() bool { e := w.journalled()["u"]; return e != nil && e.tries == 1 && e.doubtAt.IsZero() })
+	w.kill(cmd)
+	old.Phase = "left"
+	w.tell(old)
+	w.endpoint("f", 3, "hooks", respond(200))
+	w.spawn() // a restart ends the wait
+	w.awaitCalls("u", 2)
+	w.awaitEmpty()
+}
+
+func TestKilledAfterDelivery(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint("e", 3, "hooks", respond(200))
+	cmd := w.spawn()
+	w.hand("unsafe", "a", 3)
+	w.awaitEmpty()
+	w.kill(cmd)
+	cmd = w.spawn()
+	w.hand("free", "b", 3) // once this is through, what was taken up again would be, too
+	w.awaitCalls("b", 1)
+	w.awaitEmpty()
+	if n := w.called("a"); n != 1 {
+		t.Errorf("%d calls", n)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.notices) > 0 {
+		t.Errorf("notices %v of what was delivered", w.notices)
+	}
+}
+
+func TestKilledWithANoticeOwed(t *testing.T) {
+	w := newWorld(t)
+	w.set(func() { w.deaf = true })
+	w.endpoint("e", 3, "hooks", respond(500))
+	cmd := w.spawn()
+	w.hand("unsafe", "u", 3)
+	waitFor(t, func() bool { e := w.journalled()["u"]; return e != nil && e.owed != nil })
+	w.kill(cmd)
+	cmd = w.spawn()
+	w.set(func() { w.deaf = false })
+	w.awaitNotice("u", "undeliverable")
+	w.awaitEmpty()
+	if n := w.called("u"); n != 1 {
+		t.Errorf("%d calls of an unsafe message that may have run", n)
+	}
+}
+
+// Attempts count on over restarts, and the last one allowed is the last.
+func TestKilledAgainAndAgain(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint("e", 3, "hooks", stuck)
+	cmd := w.spawn()
+	w.hand("free", "f", 3)
+	for n := 1; n <= 6; n++ {
+		waitFor(t, func() bool { e := w.journalled()["f"]; return e != nil && e.tries >= n })
+		w.kill(cmd)
+		cmd = w.spawn()
+	}
+	w.awaitNotice("f", "deferred")
+	if n := w.called("f"); n > 6 {
+		t.Errorf("%d calls, six at most", n)
+	}
+}
+
+func TestOutOfTimeWhileDownIsReportedPromptly(t *testing.T) {
+	w := newWorld(t)
+	cmd := w.spawn()
+	r := w.request("free", "f", 3)
+	r.Header.Set("X-Expires-In-Ms", "300")
+	if code, _, why := w.do(r); code != 202 {
+		t.Fatal(code, why)
+	}
+	handed := time.Now()
+	w.kill(cmd)
+	waitFor(t, func() bool { return time.Since(handed) > 300*time.Millisecond })
+	w.spawn()
+	w.awaitNotice("f", "deferred")
+	w.awaitEmpty()
+}
+
+// A planned stop goes on answering, lets calls finish so that no doubt is left, starts none late, and loses nothing.
+func TestTerminated(t *testing.T) {
+	w := newWorld(t)
+	release := make(chan bool)
+	w.endpoint("e", 3, "hooks", func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	cmd := w.spawn()
+	w.hand("unsafe", "out", 3)
+	w.awaitCalls("out", 1)
+	must(t, cmd.Process.Signal(syscall.SIGTERM))
+	w.hand("unsafe", "late", 4) // nobody serves it in this life
+	close(release)
+	waitFor(t, func() bool { return w.journalled()["out"] == nil })
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("the program ended with %v", err)
+	}
+	if left := w.journalled(); len(left) != 1 || left["late"] == nil {
+		t.Errorf("journalled %v", left)
+	}
+	w.endpoint("f", 4, "hooks", respond(200))
+	w.spawn()
+	w.awaitCalls("late", 1)
+	w.awaitEmpty()
+	if w.called("out") != 1 || w.called("late") != 1 {
+		t.Errorf("calls %v", w.calls)
+	}
+}
+
+// While stopping, each request that was read gets its answer; a connection ends only between two.
+func TestClientsKeepGettingAnswersWhileStopping(t *testing.T) {
+	w := newWorld(t)
+	w.maxOpen = 100000
+	w.diskMB = 50
+	w.endpoint("e", 3, "hooks", respond(200))
+	cmd := w.spawn()
+	must(t, cmd.Process.Signal(syscall.SIGTERM))
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	answered := 0
+	for {
+		res, err := http.DefaultClient.Do(w.request("free", "m"+time.Now().Format("150405.000000"), 3))
+		if err != nil {
+			if s := err.Error(); !strings.Contains(s, "refused") {
+				t.Errorf("after %d answers: %v", answered, err)
+			}
+			break
+		}
+		res.Body.Close()
+		if res.StatusCode == 202 {
+			answered++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := <-ended; err != nil || answered == 0 {
+		t.Errorf("ended with %v after %d answers", err, answered)
+	}
+}
+
+func TestFaultyConfigurationIsNamed(t *testing.T) {
+	w := newWorld(t)
+	path := t.TempDir() + "/config.json"
+	text := strings.Replace(string(w.config()), `"slots":8`, `"slots":"many"`, 1)
+	must(t, os.WriteFile(path, []byte(text), 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_STATE="+w.dir)
+	out, err := cmd.CombinedOutput()
+	if err == nil || cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out), "extra.slots") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- /dev/null
+++ b/internal/node/rig_test.go
@@ -0,0 +1,354 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// settingsJSON are a dispatcher's settings with one class of each effect, by name.
+const settingsJSON = `{"classes":[
+ {"effect":"guarded","gain":1,"group":"all","hard-limit":60000000,"late-worth":0.5,"name":"keyed","target":30000000,"window":%d},
+ {"effect":"free","gain":2,"group":"all","hard-limit":60000000,"late-worth":0.5,"name":"free","target":30000000,"window":5000000},
+ {"effect":"single_shot","gain":5,"group":"all","hard-limit":60000000,"late-worth":0.5,"name":"unsafe","target":30000000,"window":5000000}],
+ "dcs":["east","west"],"extra":{"batch-by-kind":[10,1],"late":"linear","routes-apart":[false,false],"slots":8},
+ "host-types":["archives","hooks"],"instances":2,"me":0,"tick":5000,"zone":1,"weights":"nominal","over-share-worth":0.05,
+ "limits":{"conn-idle":5000000,"connect-timeout":1500000,"max-open":%d,"max-retry-after":2000000,"may-cancel":true,
+ "most-tries":6,"probes":true,"retry-after":true,"streams-per-conn":8},
+ "report":{"names":[],"via":"none"},"rules":{"cold-from":0.19,"overload-for":2000000,"stop-sending-within":1000000,
+ "tip-multiple":2.0,"warm-up":10000000},
+ "tenants":[{"fraction":0.6,"name":"core","quota-per-s":1000},{"fraction":0.4,"name":"docs","quota-per-s":1000}]}`
+
+// world is all that a dispatcher meets: discovery's agent, endpoints and clients, on loopback sockets.
+type world struct {
+	t               *testing.T
+	agent           *httptest.Server
+	addr, dir       string // where the dispatcher listens and what it keeps
+	window, maxOpen int
+	diskMB          float64
+
+	mu       sync.Mutex
+	revision int64
+	list     map[string]Member
+	log      []Member // changes; the revision is their number
+	changed  chan struct{}
+	mute     bool // discovery is silent
+	deaf     bool // notices are not taken
+	notices  map[string][]string
+	calls    map[string]int // by id
+}
+
+func newWorld(t *testing.T) *world {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	must(t, l.Close())
+	w := &world{
+		t: t, addr: l.Addr().String(), dir: t.TempDir(), window: 60_000_000, maxOpen: 50, diskMB: 1,
+		list: map[string]Member{}, changed: make(chan struct{}), notices: map[string][]string{}, calls: map[string]int{},
+	}
+	w.agent = httptest.NewServer(http.HandlerFunc(w.discovery))
+	t.Cleanup(func() {
+		w.agent.CloseClientConnections()
+		w.agent.Close()
+	})
+	return w
+}
+
+func (w *world) discovery(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/reports" {
+		text, err := io.ReadAll(r.Body)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.deaf || err != nil {
+			rw.WriteHeader(500)
+			return
+		}
+		for line := range strings.Lines(string(text)) {
+			var n struct{ ID, Status string }
+			if json.Unmarshal([]byte(line), &n) != nil {
+				rw.WriteHeader(400)
+				return
+			}
+			w.notices[n.ID] = append(w.notices[n.ID], n.Status)
+		}
+		rw.WriteHeader(204)
+		return
+	}
+	after, wait := int64(-1), 0
+	fmt.Sscan(r.URL.Query().Get("after"), &after)
+	fmt.Sscan(r.URL.Query().Get("wait_ms"), &wait)
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		w.mu.Lock()
+		now, changed, mute := w.revision, w.changed, w.mute
+		out := Roster{Revision: now, Complete: after < 0}
+		if after < 0 {
+			for _, m := range w.list {
+				out.Members = append(out.Members, m)
+			}
+		} else if after < now {
+			out.Members = append(out.Members, w.log[after:]...)
+		}
+		w.mu.Unlock()
+		if !mute && (after < now || wait == 0) {
+			json.NewEncoder(rw).Encode(out)
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			if mute {
+				<-r.Context().Done()
+				return
+			}
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// tell changes the list.
+func (w *world) tell(m Member) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	w.log = append(w.log, m)
+	w.list[m.ID] = m
+	if m.Phase == "left" {
+		delete(w.list, m.ID)
+	}
+	w.wake()
+}
+
+func (w *world) wake() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// set changes the world's own behaviour.
+func (w *world) set(do func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	do()
+	w.wake()
+}
+
+// endpoint starts one for a destination and lists it. It counts what it reads and then does as told.
+func (w *world) endpoint(id string, dest int, flavor string, do http.HandlerFunc) Member {
+	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.mu.Lock()
+		for _, id := range idsOf(r, body) {
+			w.calls[id]++
+		}
+		w.mu.Unlock()
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		do(rw, r)
+	}))
+	w.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	m := Member{ID: id, HostPort: s.Listener.Addr().String(), Locality: "west", Flavor: flavor, Cell: dest, Phase: "active", Size: 1000}
+	w.tell(m)
+	return m
+}
+
+func idsOf(r *http.Request, body []byte) (ids []string) {
+	if id := r.Header.Get("X-Trace-Id"); id != "" {
+		return []string{id}
+	}
+	var list []struct{ ID string }
+	if json.Unmarshal(body, &list) == nil {
+		for _, l := range list {
+			ids = append(ids, l.ID)
+		}
+	}
+	return ids
+}
+
+func respond(code int) http.HandlerFunc {
+	return func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(code) }
+}
+
+// stuck keeps a call until its connection ends.
+func stuck(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func (w *world) config() []byte {
+	return fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":%g},"settings":%s}`,
+		w.addr, w.agent.Listener.Addr(), w.diskMB, fmt.Sprintf(settingsJSON, w.window, w.maxOpen))
+}
+
+func (w *world) env(name string) string {
+	if name == "EDGE_STATE" {
+		return w.dir
+	}
+	return ""
+}
+
+// start runs a dispatcher in this process; stop ends it as SIGTERM does and waits.
+func (w *world) start() (stop func() error) {
+	w.t.Helper()
+	cfg, err := parseConfig(w.config(), w.env)
+	must(w.t, err)
+	ctx, cancel := context.WithCancel(w.t.Context())
+	done := make(chan error, 1)
+	go func() { done <- Run(ctx, cfg, quiet()) }()
+	w.t.Cleanup(cancel)
+	w.awaitReady()
+	return func() error {
+		cancel()
+		return <-done
+	}
+}
+
+// spawn runs the real program.
+func (w *world) spawn() *exec.Cmd {
+	w.t.Helper()
+	path := filepath.Join(w.t.TempDir(), "config.json")
+	must(w.t, os.WriteFile(path, w.config(), 0o600))
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_STATE="+w.dir)
+	cmd.Stderr = os.Stderr
+	if !testing.Verbose() {
+		cmd.Stderr = nil
+	}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	must(w.t, cmd.Start())
+	w.t.Cleanup(func() {
+		if cmd.ProcessState == nil {
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	})
+	w.awaitReady()
+	return cmd
+}
+
+func (w *world) kill(cmd *exec.Cmd) {
+	w.t.Helper()
+	must(w.t, cmd.Process.Kill())
+	cmd.Wait() // its error is the signal
+}
+
+func (w *world) awaitReady() {
+	w.t.Helper()
+	waitFor(w.t, func() bool {
+		res, err := http.Get("http://" + w.addr + "/-/ready")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		return res.StatusCode == 200
+	})
+}
+
+// request is a message as a client hands it in.
+func (w *world) request(class, id string, dest int) *http.Request {
+	r, err := http.NewRequest("POST", "http://"+w.addr+"/"+class, strings.NewReader("body of "+id))
+	must(w.t, err)
+	for k, v := range map[string]string{
+		"X-Trace-Id": id, "X-Qos": class, "X-Customer": "core", "X-Expires-In-Ms": "60000",
+		"Idempotency-Key": "key-" + id, "Envelope": fmt.Sprint("dest=", dest),
+	} {
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+func (w *world) do(r *http.Request) (int, http.Header, string) {
+	w.t.Helper()
+	res, err := http.DefaultClient.Do(r)
+	must(w.t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	must(w.t, err)
+	return res.StatusCode, res.Header, string(body)
+}
+
+// hand hands in a message that must be taken on.
+func (w *world) hand(class, id string, dest int) {
+	w.t.Helper()
+	if code, _, why := w.do(w.request(class, id, dest)); code != 202 {
+		w.t.Fatalf("message %s: %d %s", id, code, why)
+	}
+}
+
+func (w *world) called(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls[id]
+}
+
+func (w *world) awaitCalls(id string, n int) {
+	w.t.Helper()
+	waitFor(w.t, func() bool { return w.called(id) >= n })
+}
+
+func (w *world) awaitNotice(id, want string) {
+	w.t.Helper()
+	var got []string
+	waitFor(w.t, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		got = w.notices[id]
+		return len(got) > 0
+	})
+	if got[0] != want {
+		w.t.Errorf("notice of %s: %s, want %s", id, got[0], want)
+	}
+}
+
+// awaitEmpty waits until nothing is owed any more, as the journal has it.
+func (w *world) awaitEmpty() {
+	w.t.Helper()
+	waitFor(w.t, func() bool { return len(w.journalled()) == 0 })
+}
+
+// journalled reads what the dispatcher has on disk, without touching it.
+func (w *world) journalled() map[string]*entry {
+	j := &journal{dir: w.dir, live: map[string]*entry{}}
+	segments, err := j.segments()
+	must(w.t, err)
+	for _, s := range segments {
+		if text, err := os.ReadFile(j.path(s)); err == nil {
+			replay(text, j.apply)
+		}
+	}
+	return j.live
+}
+
+// program is the real binary, built once for all tests.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "curlewmux")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		program = filepath.Join(dir, "curlewmux")
+		if out, err := exec.Command("go", "build", "-o", program, "../../cmd/curlewmux").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "building the program: %v\n%s", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
+}
