--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -416,7 +416,7 @@
 func TestIdleConnectionsEnd(t *testing.T) {
 	s, release, _ := held(t)
 	p := testPool()
-	p.most = 2
+	p.most, p.idle = 2, time.Hour
 	done := make(chan bool)
 	for range 3 {
 		go func() { runCall(t, p, t.Context(), s.addr, nil, items("a")); done <- true }()
@@ -442,6 +442,20 @@
 	waitFor(t, func() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.count == 0 && len(p.ready) == 0 })
 }
 
+// A connection may end between its answer and its return to the pool.
+func TestAConnectionThatEndedDoesNotBecomeIdle(t *testing.T) {
+	s := newScript(t, func(c net.Conn, _ *seen) string { return "" })
+	p := testPool()
+	c, _, err := p.get(t.Context(), s.addr)
+	must(t, err)
+	must(t, c.Close())
+	<-c.dead
+	p.put(c)
+	if p.count != 0 {
+		t.Error("a dead connection is kept for the next call")
+	}
+}
+
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(generous); !ok(); time.Sleep(2 * time.Millisecond) {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -50,13 +50,17 @@
 
 // agent speaks with discovery's agent on this machine.
 type agent struct {
-	base string
-	http *http.Client
-	log  *slog.Logger
+	base         string
+	wait, margin time.Duration
+	http         *http.Client
+	log          *slog.Logger
 }
 
 func newAgent(addr string, log *slog.Logger) *agent {
-	return &agent{base: "http://" + addr, log: log, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	return &agent{
+		base: "http://" + addr, wait: watchWait, margin: watchMargin, log: log,
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+	}
 }
 
 // watch passes on what discovery tells until ctx ends: the whole list first, then changes. The next call follows an
@@ -66,10 +70,10 @@
 	known, down := false, false
 	pause := retryLeast
 	for ctx.Err() == nil {
-		path, limit := "/api/targets", watchMargin
+		path, limit := "/api/targets", a.margin
 		if known {
-			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
-			limit += watchWait
+			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", after, a.wait.Milliseconds())
+			limit += a.wait
 		}
 		r, err := a.list(ctx, path, limit)
 		if ctx.Err() != nil {
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -130,6 +130,23 @@
 	}
 }
 
+// What was given up stays given up: its client may hand it in again once it hears.
+func TestWhatWasGivenUpIsNotSentAfterARestart(t *testing.T) {
+	w := newWorld(t)
+	j := open(t, w.dir, 1e6)
+	e := testEntry("g")
+	e.class, e.dest = "unsafe", 3
+	must(t, j.take(e))
+	must(t, j.owe(&notice{id: "g", deferred: true}))
+	w.endpoint("e", 3, "hooks", respond(200))
+	w.spawn()
+	w.awaitNotice("g", "deferred")
+	w.awaitEmpty()
+	if n := w.called("g"); n != 0 {
+		t.Errorf("%d calls", n)
+	}
+}
+
 // Attempts count on over restarts, and the last one allowed is the last.
 func TestKilledAgainAndAgain(t *testing.T) {
 	w := newWorld(t)
