A dial that ends with the message's time says nothing of the endpoint

Seen: TestADialThatNeverEnds once gave connect failed in place of moot. Cause: net.Dialer keeps the context's deadline by its own timer and may return just before the context is done (calls.go run, which asked the context alone). Excluded: the connect time-out (one second, not reached) and a reset (the backlog was full, nothing answered). Mend: the clock is asked too.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -226,7 +226,9 @@
 	}
 	dialing, stop := context.WithDeadline(ctx, last)
 	c, fresh, err := p.get(dialing, k.addr)
-	gone := dialing.Err() != nil
+	// The dialer keeps the deadline by itself and may return just before the context is done.
+	until, _ := dialing.Deadline()
+	gone := dialing.Err() != nil || !time.Now().Before(until)
 	stop()
 	switch {
 	case err != nil && gone: // given up by us: it says nothing about the endpoint
