A refusal tells the client when to come back

Observation: final refusals carried no time, though the destination's wait is known (control.go finish). Excluded: holding the answer back, which the users rule out.

--- a/control/control.go
+++ b/control/control.go
@@ -265,7 +265,7 @@
 func (d *Dispatcher) finish(m *message, back bool) {
 	a := Action{Kind: Fail, Message: m.id}
 	if back && d.refusable(m) {
-		a.Kind = Refuse
+		a.Kind, a.After = Refuse, max(m.dest.pace.wait-d.now, 0) // sooner it would only be held
 	}
 	d.out = append(d.out, a)
 	d.end(m)
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -234,3 +234,25 @@
 	}
 	return nil
 }
+
+// What is handed back while its destination's wait runs comes with the time until there is room again.
+func TestARefusalTellsWhenToComeBack(t *testing.T) {
+	r := newRig(t, testSettings(), entry(1, 0, 0))
+	m := r.msg(free, 1)
+	r.want(r.at(0, m), m.Message)
+	r.at(s/10, full(m.Message, 0, 9*s))
+	acts := r.at(4*s, Event{Kind: Tick, Mark: uint64(m.Message) + 1})
+	r.wantEnd(acts, Refuse, m.Message)
+	for _, a := range acts {
+		if a.Kind == Refuse && (a.After < 4*s || a.After > 6*s) {
+			t.Errorf("stay away for %v of the five seconds that the wait has left", a.After)
+		}
+	}
+	n := r.msg(free, 2) // no endpoint, no wait
+	r.at(0, n)
+	for _, a := range r.at(s, Event{Kind: Tick, Mark: uint64(n.Message) + 1}) {
+		if a.Kind == Refuse && a.After != 0 {
+			t.Errorf("stay away for %v without a wait", a.After)
+		}
+	}
+}
