A planned stop waits for calls that are still out

Cause: the program left as soon as the clients were let go (loop.go Run), at 2.9 s of the 3.7 s that it has, so that a call about to end was left in doubt and an unsafe message failed after the restart for nothing. Seen by reading and in a loopback test that fails without the mend.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -24,6 +24,7 @@
 	Known                          *Roster // the endpoint list as last had, nil if none
 	Settings                       control.Settings
 	Zones, Reports                 []string // names of the zones, and of the values in a load report
+	stop                           stopTimes
 }
 
 // ReadConfig reads the file that EDGE_CONFIG names; the other EDGE variables take precedence over it.
@@ -57,6 +58,7 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	c := &Config{
+		stop: plannedStop(),
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, State: env("EDGE_STATE"), Known: file.Known,
 		Cores: file.Limits.Cores, Sockets: file.Limits.Sockets, Memory: file.Limits.MemoryMB << 20, Disk: int64(file.Limits.DiskMB * 1e6),
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -15,13 +15,19 @@
 	"whinrun/control"
 )
 
-// A planned stop: the platform kills 3.7 s after SIGTERM at the soonest.
-const (
-	stopSending = 1700 * time.Millisecond // then calls go on that are out, and none starts
-	stopKeeping = 2500 * time.Millisecond // then each answer ends its connection, so that few are cut off idle
-	stopTaking  = 2900 * time.Millisecond // then the rest of the clients are let go
-	stopClients = 400 * time.Millisecond  // for those whose request is just being read
-)
+// stopTimes are how long after SIGTERM each part of a planned stop begins. The platform kills after 3.7 s at the
+// soonest.
+type stopTimes struct {
+	sending time.Duration // calls go on that are out, and none starts
+	keeping time.Duration // each answer ends its connection, so that few are cut off idle
+	taking  time.Duration // the rest of the clients are let go
+	waiting time.Duration // nobody is waited for any more: clients still sending, calls still out
+}
+
+func plannedStop() stopTimes {
+	const ms = time.Millisecond
+	return stopTimes{sending: 1700 * ms, keeping: 2500 * ms, taking: 2900 * ms, waiting: 3400 * ms}
+}
 
 const (
 	firstList   = time.Second // how long the first list from discovery is waited for before the cached one must do
@@ -106,6 +112,7 @@
 	rosters chan *Roster
 	notices chan []*notice
 	through chan []*notice
+	idle    chan struct{} // takes a value while no call is out
 	quit    chan struct{} // closed when nobody may talk to the loop any more
 
 	events  []control.Event
@@ -136,7 +143,7 @@
 	l := &loop{
 		cfg: cfg, set: &cfg.Settings, log: log, d: d, j: j, start: time.Now(),
 		takes: make(chan *intake), ends: make(chan ended), asks: make(chan question), rosters: make(chan *Roster),
-		notices: make(chan []*notice), through: make(chan []*notice), quit: make(chan struct{}),
+		notices: make(chan []*notice), through: make(chan []*notice), idle: make(chan struct{}), quit: make(chan struct{}),
 		held: map[string]*message{}, byNum: map[control.MessageID]*message{}, past: map[string]time.Time{},
 		eps: map[string]*endpoint{}, byEp: map[control.Endpoint]*endpoint{}, waits: map[int]time.Time{},
 		flights: map[*flight]bool{},
@@ -196,15 +203,19 @@
 	case err = <-failed:
 	case <-ctx.Done():
 		log.Info("stopping")
-		sleep(background, stopSending)
+		sleep(background, cfg.stop.sending)
 		close(freeze)
-		sleep(background, stopKeeping-stopSending)
+		sleep(background, cfg.stop.keeping-cfg.stop.sending)
 		c.closing.Store(true)
-		sleep(background, stopTaking-stopKeeping)
-		limit, cancel := context.WithTimeout(background, stopClients)
+		sleep(background, cfg.stop.taking-cfg.stop.keeping)
+		limit, cancel := context.WithTimeout(background, cfg.stop.waiting-cfg.stop.taking)
 		if late := c.server.Shutdown(limit); late != nil {
 			log.Warn("clients were still sending", "error", late)
 		}
+		select { // a call that ends now leaves no doubt behind
+		case <-l.idle:
+		case <-limit.Done():
+		}
 		cancel()
 	}
 	close(l.quit)
@@ -240,6 +251,10 @@
 	defer clock.Stop()
 	for {
 		var notices chan []*notice
+		var idle chan struct{}
+		if len(l.flights) == 0 && l.frozen {
+			idle = l.idle
+		}
 		if len(l.pending) > 0 {
 			notices = l.notices
 		}
@@ -257,6 +272,7 @@
 			q.answer <- l.may(q.flight)
 		case r := <-l.rosters:
 			l.roster(r)
+		case idle <- struct{}{}:
 		case notices <- l.pending:
 			l.pending = nil
 		case list := <-l.through:
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -509,3 +510,46 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// A call that ends when the clients have been let go still leaves no doubt: it is waited for, but not for ever.
+func TestAStopWaitsForCallsOut(t *testing.T) {
+	for _, ends := range []bool{true, false} {
+		w := newWorld(t)
+		release := make(chan bool)
+		w.endpoint("e", 1, "hooks", func(_ http.ResponseWriter, r *http.Request) {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		})
+		cfg, err := parseConfig(w.config(), w.env)
+		must(t, err)
+		if cfg.stop = (stopTimes{waiting: time.Second}); ends {
+			cfg.stop.waiting = generous
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- Run(ctx, cfg, quiet()) }()
+		w.awaitReady()
+		w.hand("unsafe", "u", 1)
+		w.awaitCalls("u", 1)
+		http.DefaultClient.CloseIdleConnections()
+		cancel()
+		waitFor(t, func() bool {
+			c, err := net.Dial("tcp", w.addr)
+			if err == nil {
+				c.Close()
+			}
+			return err != nil
+		})
+		if ends {
+			close(release)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if left := len(w.journalled()); (left == 0) != ends {
+			t.Errorf("the call ended: %v, %d messages are left", ends, left)
+		}
+	}
+}
