--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"whinrun/control"
@@ -46,46 +47,105 @@
 	retryMost   = time.Second
 	reportLimit = 2 * time.Second
 	reportBytes = 48 << 10 // under what a body may hold
+	listBytes   = 8 << 20  // far over any list
 )
 
-// agent speaks with discovery's agent on this machine.
+// agent speaks with discovery's agent on this machine, at an address that a reload may replace.
 type agent struct {
-	base         string
 	wait, margin time.Duration
-	http         *http.Client
 	log          *slog.Logger
+	mu           sync.Mutex
+	at           *place
+}
+
+// place is one address of the agent.
+type place struct {
+	base string
+	http *http.Client
+	left chan struct{} // closed when another place counts
 }
 
 func newAgent(addr string, log *slog.Logger) *agent {
-	return &agent{
-		base: "http://" + addr, wait: watchWait, margin: watchMargin, log: log,
+	return &agent{wait: watchWait, margin: watchMargin, log: log, at: newPlace(addr)}
+}
+
+func newPlace(addr string) *place {
+	return &place{
+		base: "http://" + addr, left: make(chan struct{}),
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
 
+// move makes another address count and drops the calls to the old one; it tells whether it is another.
+func (a *agent) move(addr string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old := a.at
+	if old.base == "http://"+addr {
+		return false
+	}
+	a.at = newPlace(addr)
+	close(old.left)
+	old.http.CloseIdleConnections()
+	return true
+}
+
+func (a *agent) place() *place {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.at
+}
+
+// within bounds what is done at a place: by time and by the place being left.
+func (p *place) within(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	go func() {
+		select {
+		case <-p.left:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// pause waits before the next try at a place.
+func (p *place) pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := p.within(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // watch passes on what discovery tells until ctx ends: the whole list first, then changes. The next call follows an
-// answer at once, so that nothing falls between two.
+// answer at once, so that nothing falls between two. At a new place all begins anew.
 func (a *agent) watch(ctx context.Context, tell func(*Roster)) {
 	var after int64
+	var at *place
 	known, down := false, false
 	pause := retryLeast
 	for ctx.Err() == nil {
+		if p := a.place(); p != at {
+			at, known, pause = p, false, retryLeast
+		}
 		path, limit := "/api/targets", a.margin
 		if known {
 			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", after, a.wait.Milliseconds())
 			limit += a.wait
 		}
-		r, err := a.list(ctx, path, limit)
+		r, err := at.list(ctx, path, limit)
 		if ctx.Err() != nil {
 			return
 		}
+		if a.place() != at {
+			continue // what the old place said, or that it fell silent, is of no more interest
+		}
 		if err != nil {
 			if !down {
 				a.log.Warn("discovery does not answer; the list at hand stays in use", "error", err)
 				tell(&Roster{kind: control.ListFailed})
 			}
 			down = true
-			sleep(ctx, pause)
+			at.pause(ctx, pause)
 			pause = min(2*pause, retryMost)
 			continue
 		}
@@ -102,14 +162,14 @@
 	}
 }
 
-func (a *agent) list(ctx context.Context, path string, limit time.Duration) (*Roster, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func (p *place) list(ctx context.Context, path string, limit time.Duration) (*Roster, error) {
+	ctx, cancel := p.within(ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, a.base+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.base+path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	res, err := a.http.Do(req)
+	res, err := p.http.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
@@ -118,11 +178,12 @@
 		return nil, fmt.Errorf("discovery: status %d", res.StatusCode)
 	}
 	r := &Roster{}
-	if err := json.NewDecoder(res.Body).Decode(r); err != nil {
+	body := io.LimitReader(res.Body, listBytes)
+	if err := json.NewDecoder(body).Decode(r); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	// Only a body read to its end leaves the connection usable for the next call.
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+	if _, err := io.Copy(io.Discard, body); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	return r, nil
@@ -141,7 +202,8 @@
 			body, n := reportBody(list)
 			pause := retryLeast
 			for failed := false; ; failed = true {
-				status, err := a.post(ctx, body)
+				at := a.place()
+				status, err := at.post(ctx, body)
 				if ctx.Err() != nil {
 					return
 				}
@@ -152,10 +214,14 @@
 					a.log.Error("notices were refused as unreadable", "count", n)
 					break
 				}
+				if a.place() != at {
+					pause = retryLeast
+					continue
+				}
 				if !failed {
 					a.log.Warn("notices are not taken; trying on", "count", n, "status", status, "error", err)
 				}
-				sleep(ctx, pause)
+				at.pause(ctx, pause)
 				pause = min(2*pause, retryMost)
 			}
 			through(list[:n])
@@ -185,15 +251,15 @@
 	return b.Bytes(), len(list)
 }
 
-func (a *agent) post(ctx context.Context, body []byte) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+func (p *place) post(ctx context.Context, body []byte) (int, error) {
+	ctx, cancel := p.within(ctx, reportLimit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, a.base+"/reports", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+"/reports", bytes.NewReader(body))
 	if err != nil {
 		return 0, fmt.Errorf("report: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/x-ndjson")
-	res, err := a.http.Do(req)
+	res, err := p.http.Do(req)
 	if err != nil {
 		return 0, fmt.Errorf("report: %w", err)
 	}
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// reconfigure replaces the file of a running program and tells it so.
+func (w *world) reconfigure(cmd *exec.Cmd, text string) {
+	w.t.Helper()
+	path := configOf(cmd)
+	must(w.t, os.WriteFile(path+".new", []byte(text), 0o600))
+	must(w.t, os.Rename(path+".new", path))
+	must(w.t, cmd.Process.Signal(syscall.SIGHUP))
+}
+
+func configOf(cmd *exec.Cmd) string {
+	for _, v := range cmd.Env {
+		if path, ok := strings.CutPrefix(v, "EDGE_CONFIG="); ok {
+			return path
+		}
+	}
+	return ""
+}
+
+// The file's address wins over the variable, which still holds the old one; the list is asked for anew as a whole,
+// and a notice that the old address never took goes to the new one. A hanging watch is no obstacle.
+func TestReloadMovesDiscovery(t *testing.T) {
+	w := newWorld(t)
+	old := w.agent.Listener.Addr().String()
+	t.Setenv("EDGE_DISCOVERY", old)
+	w.set(func() { w.deaf = true })
+	w.endpoint("e", 3, "hooks", respond(500))
+	cmd := w.spawn()
+	w.hand("unsafe", "u", 3)
+	waitFor(t, func() bool { e := w.journalled()["u"]; return e != nil && e.owed != nil })
+
+	v := newWorld(t) // another discovery, with a list of its own
+	v.tell(Member{ID: "f", Cell: 5, Phase: "leaving"})
+	f := w.endpoint("f", 5, "hooks", respond(200))
+	v.tell(f)
+	w.set(func() { w.mute = true })
+	w.reconfigure(cmd, strings.Replace(string(w.config()), old, v.agent.Listener.Addr().String(), 1))
+	v.awaitNotice("u", "undeliverable")
+	waitFor(t, func() bool { code, _, _ := w.do(w.request("unsafe", "n", 5)); return code == 202 })
+	w.awaitCalls("n", 1)
+	w.awaitEmpty()
+	must(t, cmd.Process.Signal(syscall.SIGTERM))
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A faulty file keeps what is in force and says which setting is at fault.
+func TestReloadOfAFaultyFile(t *testing.T) {
+	w := newWorld(t)
+	w.endpoint("e", 3, "hooks", respond(200))
+	logs := filepath.Join(t.TempDir(), "log")
+	out, err := os.Create(logs)
+	must(t, err)
+	w.stderr = out
+	cmd := w.spawn()
+	good := string(w.config())
+	for text, want := range map[string]string{
+		strings.Replace(good, `"slots":8`, `"slots":"many"`, 1):               "extra.slots",
+		strings.Replace(good, w.agent.Listener.Addr().String(), "nowhere", 1): "discovery",
+		strings.Replace(good, `"discovery"`, `"directory"`, 1):                "discovery: missing",
+		good[:len(good)/2]: "configuration",
+		strings.Replace(good, `"sockets":256`, `"sockets":-1`, 1):           "limits.sockets",
+		strings.Replace(good, `"memory_mb":192`, `"memory_mb":"plenty"`, 1): "memory_mb",
+		strings.Replace(good, `"disk_mb":1`, `"disk_mb":2`, 1):              "setting=limits", // sound, but not while running
+	} {
+		w.reconfigure(cmd, text)
+		waitFor(t, func() bool {
+			log, err := os.ReadFile(logs)
+			must(t, err)
+			return strings.Contains(string(log), want)
+		})
+	}
+	w.hand("unsafe", "u", 3)
+	w.awaitCalls("u", 1)
+	w.awaitEmpty()
+}
+
+// Signals in a row, and during a stop, end nothing early and lose nothing.
+func TestReloadsInARowAndDuringAStop(t *testing.T) {
+	w := newWorld(t)
+	var calls atomic.Int32
+	w.endpoint("e", 3, "hooks", func(http.ResponseWriter, *http.Request) { calls.Add(1) })
+	cmd := w.spawn()
+	text := string(w.config())
+	other := httptest.NewServer(http.HandlerFunc(w.discovery))
+	t.Cleanup(func() { other.CloseClientConnections(); other.Close() })
+	moved := strings.Replace(text, w.agent.Listener.Addr().String(), other.Listener.Addr().String(), 1)
+	for i := range 20 {
+		w.reconfigure(cmd, []string{text, moved}[i%2])
+	}
+	w.hand("unsafe", "a", 3)
+	w.awaitCalls("a", 1)
+	w.awaitEmpty()
+	must(t, cmd.Process.Signal(syscall.SIGTERM))
+	w.hand("unsafe", "b", 4)
+	for i := range 6 {
+		w.reconfigure(cmd, []string{text, moved}[i%2])
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("ended with %v", err)
+	}
+	if left := w.journalled(); len(left) != 1 || left["b"] == nil {
+		t.Errorf("journalled %v", left)
+	}
+	if c, err := net.Dial("tcp", w.addr); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
