Answers are read by their own call, within bounds; a first line with 200 counts; the pool is keyed by endpoint

Now the reader belongs to the call and ends with its answer; a connection is reused only with nothing buffered or readable, looked at when it is taken and again just before the write. - http.ReadResponse had no bound for a head; an endless body counted as a time-out. Head, body and 1xx are bounded, and an answer that has begun must end within 400 ms. A spoilt one is an error that may have run: no wait, Slots-Taken or report is taken from it, and reports with NaN or Inf are none. - A call with one message whose first line says 200 is delivered: the loop journals that at the line. Its slot is free when the rest has come or the connection is closed. - The pool was keyed by address: roster closed a newcomer's connections at each list. Now a peer belongs to an endpoint; those of a gone one close as their calls end. A dial that fails for want of descriptors says nothing of the endpoint. Spoilt answers come from any endpoint alike, so they count as errors, not as resets by which an outage is told (ruled out by learn in control.go: two resets in a row make an endpoint suspect).

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -5,13 +5,17 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"whinrun/control"
@@ -33,31 +37,44 @@
 	result control.Result
 	wait   time.Duration // told wait
 	over   bool          // the endpoint says that the message is over
+	at     time.Time     // when that was known, if earlier than it is told
 	report []float32
 }
 
 // callHooks are what a call asks of and tells its owner.
 type callHooks struct {
-	may  func() []bool   // asked after a dial, just before the first byte: which items may still be sent
-	ends func([]outcome) // told as items end; each ends once
+	may       func() []bool   // asked after a dial, just before the first byte: which items may still be sent
+	delivered func()          // told when the first line of the answer to a call with one item says so
+	ends      func([]outcome) // told as items end; each ends once
 }
 
-// pool holds the connections to endpoints.
+// pool holds the idle connections to endpoints.
 type pool struct {
 	connectTimeout, idle time.Duration
 	most                 int // idle connections kept over all endpoints
 	reports              []string
 
 	mu    sync.Mutex
-	ready map[string][]*conn // idle, by address, oldest first
 	count int
 }
 
-// idleMargin keeps a request from crossing the endpoint's own close of an idle connection.
-const idleMargin = 300 * time.Millisecond
+// peer is an endpoint as the pool knows it. Another one may take over its address when it has gone.
+type peer struct {
+	addr string
+	gone bool    // connections close as their calls end; under the pool's lock, like
+	idle []*conn // those without a call, oldest first
+}
+
+const (
+	idleMargin  = 300 * time.Millisecond // keeps a request from crossing the endpoint's own close of an idle connection
+	answerSpan  = 400 * time.Millisecond // an answer that has begun must end within this
+	answerHead  = 32 << 10               // what may come ahead of a body, 1xx answers and all
+	answerBody  = 64 << 10               // what the protocol lets a body hold
+	answerEarly = 8                      // 1xx answers ahead
+)
 
 func newPool(s *control.Settings, reports []string, most int) *pool {
-	p := &pool{connectTimeout: span(s.ConnectTimeout), reports: reports, most: most, ready: map[string][]*conn{}}
+	p := &pool{connectTimeout: span(s.ConnectTimeout), reports: reports, most: most}
 	if s.ConnIdle > 0 {
 		p.idle = max(span(s.ConnIdle)-idleMargin, span(s.ConnIdle)/2)
 	}
@@ -66,104 +83,75 @@
 
 func span(t control.Time) time.Duration { return time.Duration(t) * time.Microsecond }
 
-// conn is a connection with a reader of its own, so that the endpoint's close is seen while it is idle.
+// conn is a connection to an endpoint. Only the call that is out reads from it.
 type conn struct {
 	net.Conn
-	addr    string
-	answers chan answer   // to the call that is out
-	dead    chan struct{} // closed when reading ended
-	expiry  *time.Timer   // while idle
-	busy    bool          // a call is out; under the pool's lock
-	gone    bool          // reading ended; under the pool's lock, so that it can't become idle after that
+	peer   *peer
+	br     *bufio.Reader
+	left   int         // bytes that may still be read
+	expiry *time.Timer // while idle
 }
 
-type answer struct {
-	status int
-	header http.Header
-	body   []byte
-	err    error // of the body
-	keep   bool
-}
-
-const maxAnswer = 1 << 20
-
-// read delivers the answers that come in, one for each call.
-func (p *pool) read(c *conn) {
-	defer close(c.dead)
-	defer c.Close()
-	defer func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		c.gone = true
-		p.remove(c)
-	}()
-	br := bufio.NewReader(c)
-	for {
-		if _, err := br.Peek(1); err != nil {
-			return
-		}
-		p.mu.Lock()
-		asked := c.busy
-		p.mu.Unlock()
-		if !asked {
-			return // nobody asked: whatever follows can't be told from an answer
-		}
-		res, err := http.ReadResponse(br, nil)
-		if err != nil {
-			return
-		}
-		if res.StatusCode < 200 {
-			continue
-		}
-		a := answer{status: res.StatusCode, header: res.Header}
-		a.body, a.err = io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
-		a.keep = a.err == nil && len(a.body) <= maxAnswer && !res.Close
-		c.answers <- a
-		if !a.keep {
-			return
-		}
+var errLong = errors.New("the answer is too long")
+
+func (c *conn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errLong
 	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
 }
 
 // get returns an idle connection, or dials; fresh tells which.
-func (p *pool) get(ctx context.Context, addr string) (c *conn, fresh bool, err error) {
-	p.mu.Lock()
-	if l := p.ready[addr]; len(l) > 0 {
-		c = l[len(l)-1] // the newest has been idle for the shortest time
-		p.remove(c)
-		c.busy = true
-	}
-	p.mu.Unlock()
-	if c != nil {
-		return c, false, nil
+func (p *pool) get(ctx context.Context, q *peer) (c *conn, fresh bool, err error) {
+	for c = p.pop(q); c != nil; c = p.pop(q) {
+		if c.clean() {
+			return c, false, nil
+		}
+		c.Close()
 	}
 	d := net.Dialer{Timeout: p.connectTimeout}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := d.DialContext(ctx, "tcp", q.addr)
 	if err != nil {
 		return nil, true, fmt.Errorf("dial: %w", err)
 	}
-	c = &conn{Conn: nc, addr: addr, answers: make(chan answer, 1), dead: make(chan struct{}), busy: true}
-	go p.read(c)
+	c = &conn{Conn: nc, peer: q}
+	c.br = bufio.NewReaderSize(c, 2<<10)
 	return c, true, nil
 }
 
+// clean tells that nothing has come on a connection without a call, neither bytes nor its end: whatever does can't be
+// told from an answer.
+func (c *conn) clean() bool { return c.br.Buffered() == 0 && !readable(c.Conn) }
+
+// pop takes the newest idle connection, which has been idle for the shortest time.
+func (p *pool) pop(q *peer) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(q.idle) == 0 {
+		return nil
+	}
+	c := q.idle[len(q.idle)-1]
+	p.remove(c)
+	return c
+}
+
 // put makes a connection idle.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.busy = false
-	if c.gone {
-		return
-	}
-	if p.count >= p.most {
+	if c.peer.gone || p.count >= p.most {
 		c.Close()
 		return
 	}
-	p.ready[c.addr] = append(p.ready[c.addr], c)
+	c.peer.idle = append(c.peer.idle, c)
 	p.count++
 	if p.idle > 0 {
 		c.expiry = time.AfterFunc(p.idle, func() {
-			if p.forget(c) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if p.remove(c) {
 				c.Close()
 			}
 		})
@@ -172,46 +160,40 @@
 
 // remove takes an idle connection out; the lock is held.
 func (p *pool) remove(c *conn) bool {
-	l := p.ready[c.addr]
-	for i, o := range l {
-		if o == c {
-			p.ready[c.addr] = append(l[:i:i], l[i+1:]...)
-			if len(l) == 1 {
-				delete(p.ready, c.addr)
-			}
-			p.count--
-			if c.expiry != nil {
-				c.expiry.Stop()
-			}
-			return true
-		}
+	i := slices.Index(c.peer.idle, c)
+	if i < 0 {
+		return false
+	}
+	c.peer.idle = slices.Delete(c.peer.idle, i, i+1)
+	p.count--
+	if c.expiry != nil {
+		c.expiry.Stop()
 	}
-	return false
+	return true
 }
 
-// forget takes a connection out if it is idle.
-func (p *pool) forget(c *conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.remove(c)
+// closeIdle closes the idle connections to an endpoint.
+func (p *pool) closeIdle(q *peer) {
+	for c := p.pop(q); c != nil; c = p.pop(q) {
+		c.Close()
+	}
 }
 
-// closeIdle closes the idle connections to an address.
-func (p *pool) closeIdle(addr string) {
+// leave closes the connections to an endpoint that has gone, those with calls as these end.
+func (p *pool) leave(q *peer) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.ready[addr] {
-		p.remove(c)
-		c.Close()
-	}
+	q.gone = true
+	p.mu.Unlock()
+	p.closeIdle(q)
 }
 
 // call is one call out. Its owner may cancel ctx: then we stop waiting and the connection closes.
 type call struct {
-	addr  string
+	peer  *peer
 	items []item
 	left  []bool // items without an outcome
 	hooks callHooks
+	line  time.Time // when the first line came that says of the only item that it is delivered
 }
 
 // run makes the call and reports the outcome of each item exactly once.
@@ -220,62 +202,174 @@
 	last := time.Time{}
 	for i := range k.items {
 		k.left[i] = true
-		if k.items[i].due.After(last) {
-			last = k.items[i].due
-		}
+		last = later(last, k.items[i].due)
 	}
-	dialing, stop := context.WithDeadline(ctx, last)
-	c, fresh, err := p.get(dialing, k.addr)
-	// The dialer keeps the deadline by itself and may return just before the context is done.
-	until, _ := dialing.Deadline()
-	gone := dialing.Err() != nil || !time.Now().Before(until)
-	stop()
-	switch {
-	case err != nil && gone: // given up by us: it says nothing about the endpoint
-		k.end(outcome{result: control.Moot})
+	c, request, sent := p.board(ctx, k, last)
+	if c == nil {
 		return
-	case err != nil:
+	}
+	stopWriting := context.AfterFunc(ctx, func() { c.Close() })
+	err := c.SetWriteDeadline(last)
+	if err == nil {
+		_, err = c.Write(request)
+	}
+	stopWriting()
+	if err != nil { // the call's last byte was not written: it never ran
+		c.Close()
 		k.end(outcome{result: control.ConnectFailed})
 		return
 	}
-	if fresh { // the dial may have taken long: much can have changed
-		for i, ok := range k.hooks.may() {
-			if !ok {
-				k.endOne(i, outcome{result: control.Moot})
+	p.await(ctx, k, c, sent)
+}
+
+// board finds a connection on which nothing has come since its last call, and writes the request for the items that
+// are still wanted. Without a connection all items have ended.
+func (p *pool) board(ctx context.Context, k *call, last time.Time) (*conn, []byte, []int) {
+	for {
+		dialing, stop := context.WithDeadline(ctx, last)
+		c, fresh, err := p.get(dialing, k.peer)
+		// The dialer keeps the deadline by itself and may return just before the context is done.
+		gone := dialing.Err() != nil || !time.Now().Before(last)
+		stop()
+		switch {
+		case err != nil && (gone || ours(err)): // it says nothing about the endpoint
+			k.end(outcome{result: control.Moot})
+			return nil, nil, nil
+		case err != nil:
+			k.end(outcome{result: control.ConnectFailed})
+			return nil, nil, nil
+		}
+		if fresh { // the dial may have taken long: much can have changed
+			for i, ok := range k.hooks.may() {
+				if !ok {
+					k.endOne(i, outcome{result: control.Moot})
+				}
+			}
+		}
+		var sent []int
+		for i, l := range k.left {
+			if l {
+				sent = append(sent, i)
 			}
 		}
-		if k.count() == 0 {
+		if len(sent) == 0 {
 			p.put(c)
-			return
+			return nil, nil, nil
 		}
+		request, err := k.request(sent)
+		if err != nil {
+			p.put(c)
+			k.end(outcome{result: control.Moot})
+			return nil, nil, nil
+		}
+		if fresh || c.clean() {
+			return c, request, sent
+		}
+		c.Close()
 	}
-	sent := make([]int, 0, len(k.items))
-	for i, l := range k.left {
-		if l {
-			sent = append(sent, i)
+}
+
+// ours tells that a dial failed for want of something on this side.
+func ours(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
+// answer is what came back for one call.
+type answer struct {
+	none   bool // the connection ended before an answer began
+	line   bool // a first line says 200 to a call with one item; the rest is still to come
+	spoilt bool // it can't be read or does not end: nothing that it says is believed
+	keep   bool // it is complete, nothing came behind it, and the connection goes on
+	status int
+	header http.Header
+	body   []byte // of a batch
+}
+
+// read reads the answer to the call that is out, within bounds of size and, once it has begun, of time. For a call
+// with one item line is called as soon as the first line says 200.
+func (c *conn) read(batch bool, line func()) answer {
+	c.left = answerHead
+	for early := 0; early <= answerEarly; early++ {
+		if _, err := c.br.Peek(1); err != nil {
+			return answer{none: true}
+		}
+		if err := c.SetReadDeadline(time.Now().Add(answerSpan)); err != nil {
+			return answer{spoilt: true}
+		}
+		status := c.firstLine()
+		if status == http.StatusOK && !batch {
+			line()
+		}
+		if status < 100 || status == http.StatusSwitchingProtocols {
+			break
+		}
+		res, err := http.ReadResponse(c.br, nil)
+		if err != nil {
+			break
+		}
+		if status >= 200 {
+			return c.rest(res, batch)
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil { // the answer proper may take its time
+			break
 		}
 	}
-	request, err := k.request(sent)
-	if err != nil {
-		p.put(c)
-		k.end(outcome{result: control.Moot})
-		return
+	return answer{spoilt: true}
+}
+
+// firstLine returns the status in the line that comes next, which stays unread, or 0 as soon as it can't be one.
+func (c *conn) firstLine() int {
+	const proto = "HTTP/1."
+	for n := 1; ; n++ {
+		if _, err := c.br.Peek(n); err != nil {
+			return 0
+		}
+		n = c.br.Buffered()
+		b, err := c.br.Peek(n)
+		if known := min(n, len(proto)); err != nil || string(b[:known]) != proto[:known] {
+			return 0
+		}
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			continue
+		}
+		fields := strings.Fields(string(b[:end]))
+		if len(fields) < 2 || len(fields[1]) != 3 {
+			return 0
+		}
+		status, err := strconv.ParseUint(fields[1], 10, 16)
+		if err != nil {
+			return 0
+		}
+		return int(status)
 	}
-	stopWriting := context.AfterFunc(ctx, func() { c.Close() })
-	if err = c.SetWriteDeadline(last); err == nil {
-		_, err = c.Write(request)
+}
+
+// rest reads what belongs to an answer behind its head.
+func (c *conn) rest(res *http.Response, batch bool) answer {
+	c.left = answerBody + answerHead // chunks have heads, too
+	into := io.Discard
+	var body bytes.Buffer
+	if batch {
+		into = &body
 	}
-	stopWriting()
-	if err != nil { // the call's last byte was not written: it never ran
-		c.Close()
-		k.end(outcome{result: control.ConnectFailed})
-		return
+	if res.ContentLength > answerBody {
+		return answer{spoilt: true}
 	}
-	p.await(ctx, k, c, sent)
+	n, err := io.Copy(into, io.LimitReader(res.Body, answerBody+1))
+	if err != nil || n > answerBody {
+		return answer{spoilt: true}
+	}
+	keep := !res.Close && c.br.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
+	return answer{keep: keep, status: res.StatusCode, header: res.Header, body: body.Bytes()}
 }
 
-// await waits for the answer to a call that has been written.
+// await waits for the answer to a call that has been written. The reader lives as long as the call: it ends with the
+// answer or, at the latest, when the connection closes.
 func (p *pool) await(ctx context.Context, k *call, c *conn, sent []int) {
+	answers := make(chan answer, 2)
+	go func() { answers <- c.read(len(sent) > 1, func() { answers <- answer{line: true} }) }()
 	for {
 		next := time.Time{}
 		for i, it := range k.items {
@@ -287,36 +381,35 @@
 			c.Close()
 			return
 		}
+		if !k.line.IsZero() { // delivered: its time no longer counts, and the reader ends by itself
+			next = k.line.Add(2 * answerSpan)
+		}
 		timer := time.NewTimer(time.Until(next))
 		select {
-		case a := <-c.answers:
-			timer.Stop()
-			p.answered(k, c, sent, a)
-			return
-		case <-c.dead:
+		case a := <-answers:
 			timer.Stop()
-			select {
-			case a := <-c.answers: // the last one on this connection
-				p.answered(k, c, sent, a)
-			default:
-				o := outcome{result: control.Reset}
-				if ctx.Err() != nil { // we closed it
-					o.result = control.Cancelled
-				}
-				k.end(o)
+			if a.line {
+				k.line = time.Now()
+				k.hooks.delivered()
+				continue
 			}
+			p.answered(ctx, k, c, sent, a)
 			return
 		case <-ctx.Done():
 			timer.Stop()
 			p.silent(c)
-			k.end(outcome{result: control.Cancelled})
+			k.end(k.sure(outcome{result: control.Cancelled}))
 			return
 		case <-timer.C:
 			// The others of a batch go on; an item past its time is never sent again, so no second copy can arise.
 			late := k.due(time.Now())
-			if k.count() == len(late) {
+			if k.count() == len(late) || !k.line.IsZero() {
 				p.silent(c)
 			}
+			if !k.line.IsZero() {
+				k.end(k.sure(outcome{}))
+				return
+			}
 			for _, i := range late {
 				k.endOne(i, outcome{result: control.TimedOut})
 			}
@@ -324,23 +417,45 @@
 	}
 }
 
+// sure is the outcome of an only item that a first line said is delivered, whatever came of the rest.
+func (k *call) sure(o outcome) outcome {
+	if !k.line.IsZero() {
+		o.result, o.at = control.OK, k.line
+	}
+	return o
+}
+
 // silent closes a connection that gave no answer, and the idle ones beside it: if the machine has vanished they are
 // as dead, and a request written to one of them would end in doubt when it is back.
 func (p *pool) silent(c *conn) {
 	c.Close()
-	p.closeIdle(c.addr)
+	p.closeIdle(c.peer)
 }
 
-func (p *pool) answered(k *call, c *conn, sent []int, a answer) {
+func (p *pool) answered(ctx context.Context, k *call, c *conn, sent []int, a answer) {
 	if a.keep {
 		p.put(c)
+	} else {
+		c.Close()
 	}
-	outs := p.judge(a, len(sent) > 1, k.items, sent)
+	var outs []outcome
+	switch {
+	case a.none && ctx.Err() != nil: // we closed it
+		k.end(k.sure(outcome{result: control.Cancelled}))
+		return
+	case a.none:
+		k.end(outcome{result: control.Reset})
+		return
+	case a.spoilt: // the endpoint is there and has run the call, or may have
+		k.end(k.sure(outcome{result: control.Errored}))
+		return
+	}
+	outs = p.judge(a, len(sent) > 1, k.items, sent)
 	kept := outs[:0]
 	for _, o := range outs {
 		if k.left[o.index] {
 			k.left[o.index] = false
-			kept = append(kept, o)
+			kept = append(kept, k.sure(o))
 		}
 	}
 	if len(kept) > 0 {
@@ -383,7 +498,7 @@
 func judgeBatch(a answer, o outcome, items []item, sent []int) []outcome {
 	var list []struct{ ID, State string }
 	states := map[string]string{}
-	if a.err == nil && json.Unmarshal(a.body, &list) == nil {
+	if json.Unmarshal(a.body, &list) == nil {
 		for _, l := range list {
 			states[l.ID] = l.State
 		}
@@ -470,7 +585,7 @@
 		}
 		path += ":batch"
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+k.addr+path, bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+k.peer.addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
@@ -506,19 +621,21 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// loadReport reads the report that an answer may carry: TEXT x0=0.4, x1=25.
+// loadReport reads the report that an answer may carry: TEXT x0=0.4, x1=25. One that can't be read whole is none.
 func loadReport(h http.Header, names []string) []float32 {
-	text, ok := strings.CutPrefix(h.Get("Endpoint-Load-Metrics"), "TEXT")
+	text, ok := strings.CutPrefix(h.Get("Endpoint-Load-Metrics"), "TEXT ")
 	if !ok || len(names) == 0 {
 		return nil
 	}
 	out := make([]float32, len(names))
 	for part := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		for i, n := range names {
-			if v, err := strconv.ParseFloat(value, 32); n == name && err == nil {
-				out[i] = float32(v)
-			}
+		v, err := strconv.ParseFloat(value, 32)
+		if err != nil || !(v >= 0 && v <= math.MaxFloat32) {
+			return nil
+		}
+		if i := slices.Index(names, name); i >= 0 {
+			out[i] = float32(v)
 		}
 	}
 	return out
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"fmt"
@@ -39,7 +40,8 @@
 // endpoint is one that the list names or named.
 type endpoint struct {
 	num        control.Endpoint
-	id, addr   string
+	id         string
+	peer       *peer
 	dest, zone int
 	kind       int
 	health     control.Health
@@ -106,6 +108,7 @@
 	start time.Time
 
 	takes   chan *intake
+	lines   chan *flight // calls with one message whose answers begin by saying that it is delivered
 	ends    chan ended
 	asks    chan question
 	rosters chan *Roster
@@ -148,7 +151,7 @@
 	}
 	l := &loop{
 		cfg: cfg, set: &cfg.Settings, log: log, d: d, j: j, start: time.Now(),
-		takes: make(chan *intake), ends: make(chan ended), asks: make(chan question), rosters: make(chan *Roster),
+		takes: make(chan *intake), lines: make(chan *flight), ends: make(chan ended), asks: make(chan question), rosters: make(chan *Roster),
 		notices: make(chan []*notice), through: make(chan []*notice), idle: make(chan struct{}), quit: make(chan struct{}),
 		held: map[string]*message{}, byNum: map[control.MessageID]*message{}, past: map[string]time.Time{},
 		eps: map[string]*endpoint{}, byEp: map[control.Endpoint]*endpoint{}, waits: map[int]time.Time{},
@@ -280,6 +283,8 @@
 		select {
 		case in := <-l.takes:
 			in.reply <- l.take(in)
+		case f := <-l.lines:
+			l.settle(f.msgs[0])
 		case e := <-l.ends:
 			l.ended(e)
 		case q := <-l.asks:
@@ -406,11 +411,12 @@
 			ep = &endpoint{id: m.ID, num: control.Endpoint(l.nextNum), dest: m.Cell}
 			l.eps[m.ID], l.byEp[ep.num] = ep, ep
 		}
-		if m.HostPort != "" {
-			if ep.addr != m.HostPort {
-				l.pool.closeIdle(ep.addr)
-			}
-			ep.addr = m.HostPort
+		if ep.peer == nil {
+			ep.peer = &peer{addr: m.HostPort}
+		}
+		if m.HostPort != "" && m.HostPort != ep.peer.addr || ep.peer.gone && m.Phase != "left" {
+			l.pool.leave(ep.peer)
+			ep.peer = &peer{addr: cmp.Or(m.HostPort, ep.peer.addr)}
 		}
 		ep.zone = slices.Index(l.cfg.Zones, plain(m.Locality))
 		ep.kind = slices.IndexFunc(l.set.Kinds, func(k control.Kind) bool { return k.Name == plain(m.Flavor) })
@@ -431,7 +437,7 @@
 	}
 	for id, ep := range l.eps {
 		if ep.health == control.Gone {
-			l.pool.closeIdle(ep.addr)
+			l.pool.leave(ep.peer)
 			if ep.flights == 0 {
 				delete(l.eps, id)
 				delete(l.byEp, ep.num)
@@ -468,7 +474,7 @@
 			heap.Push(&l.timers, timer{now + a.After, a.Mark})
 		case control.Close:
 			if ep := l.byEp[a.Endpoint]; ep != nil {
-				l.pool.closeIdle(ep.addr)
+				l.pool.closeIdle(ep.peer)
 			}
 		case control.Note:
 			l.log.Info("module: " + a.Text)
@@ -537,7 +543,7 @@
 			l.ended(ended{f, outs})
 			continue
 		}
-		k := &call{addr: f.ep.addr, items: f.items, hooks: callHooks{
+		k := &call{peer: f.ep.peer, items: f.items, hooks: callHooks{
 			may: func() []bool {
 				q := question{f, make(chan []bool, 1)}
 				select {
@@ -547,6 +553,12 @@
 					return make([]bool, len(f.items))
 				}
 			},
+			delivered: func() {
+				select {
+				case l.lines <- f:
+				case <-l.quit:
+				}
+			},
 			ends: func(outs []outcome) {
 				select {
 				case l.ends <- ended{f, outs}:
@@ -581,6 +593,9 @@
 	for _, o := range e.outs {
 		m := f.msgs[o.index]
 		f.done[o.index] = true
+		if o.at.IsZero() {
+			o.at = now
+		}
 		if until := now.Add(o.wait); o.wait > 0 {
 			if l.apart(f.ep) {
 				f.ep.wait = later(f.ep.wait, until)
@@ -599,7 +614,7 @@
 		}
 		l.event(control.Event{
 			Kind: control.Outcome, Message: m.num, Attempt: f.attempts[o.index], Endpoint: f.ep.num, Result: o.result,
-			Closed: o.result == control.OK || o.over, Lag: control.Time(now.Sub(f.sent).Microseconds()),
+			Closed: o.result == control.OK || o.over, Lag: control.Time(o.at.Sub(f.sent).Microseconds()),
 			Wait: control.Time(o.wait.Microseconds()), Report: o.report,
 		})
 	}
