Ends that could not be written are told by the next segment; keys must be visible ASCII; churn tests

Now it counts in memory and the next write begins a new segment. A test of thousands of ids that never return found no growth in loop, pool or module: ruled out as a leak.

--- /dev/null
+++ b/control/churn_test.go
@@ -0,0 +1,44 @@
+package control
+
+import "testing"
+
+// Endpoints, destinations, keys and messages that never return leave nothing behind for longer than two looks.
+func TestNothingGrowsWithIdsThatNeverReturn(t *testing.T) {
+	s := Settings{
+		Instances: 1, Tick: 5 * Millisecond, Slots: 8, MaxOpen: 50, MaxTries: 3, ConnIdle: 5 * Second,
+		Classes: []Class{{Name: "a", Aim: Second, Deadline: 2 * Second, Worth: 1, InOrder: true}},
+	}
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := 1000 * Second
+	most := 0
+	for i := range 5000 {
+		now += 20 * Millisecond
+		ep, id, dest := Endpoint(i+1), MessageID(i+1), i/3
+		events := []Event{
+			{Kind: List, Entries: []Entry{{Endpoint: ep, Dest: dest, Health: Ready}}},
+			{Kind: Arrival, Message: id, Dest: dest, Key: uint64(i + 1), Grace: 2 * Second},
+		}
+		gone := []Event{{Kind: Withdrawn, Message: id}, {Kind: List, Entries: []Entry{{Endpoint: ep, Dest: dest, Health: Gone}}}}
+		for _, a := range append(d.Step(now, events, nil), d.Step(now+s.Tick, gone, nil)...) {
+			if a.Kind == Send {
+				end := Event{Kind: Outcome, Message: a.Message, Endpoint: a.Endpoint, Result: Result(i % 2), Lag: s.Tick}
+				d.Step(now+2*s.Tick, []Event{end}, nil)
+			}
+		}
+		most = max(most, len(d.byID)+len(d.byNo)+len(d.keys)+len(d.msgs)+len(d.dests)+len(d.resting))
+	}
+	// In ten seconds 500 endpoints, keys and messages come and go here.
+	if most > 4000 {
+		t.Errorf("%d ids were remembered at once", most)
+	}
+	for range 3 {
+		now += 2 * seldom
+		d.Step(now, nil, nil)
+	}
+	if n := len(d.byID) + len(d.byNo) + len(d.keys) + len(d.msgs) + len(d.dests) + len(d.resting); n > 0 {
+		t.Errorf("%d ids are left", n)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -228,8 +228,8 @@
 	if c.set.Classes[in.class].Effect == control.Guarded && e.key == "" {
 		return nil, badRequest("Idempotency-Key: missing, class %q needs it", e.class)
 	}
-	if len(e.key) > 256 {
-		return nil, badRequest("Idempotency-Key: over 256 bytes")
+	if len(e.key) > 256 || strings.ContainsFunc(e.key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return nil, badRequest("Idempotency-Key: not up to 256 visible ASCII characters")
 	}
 	return in, nil
 }
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -429,8 +429,22 @@
 	return j.write(0, p)
 }
 
+// known writes what has happened and so is true also if it can't be written now: then it counts from here on, and the
+// next write begins a new segment that tells it.
+func (j *journal) known(payloads ...[]byte) error {
+	err := j.write(0, payloads...)
+	if err == nil {
+		return nil
+	}
+	for _, p := range payloads {
+		err = errors.Join(err, j.apply(p))
+	}
+	j.torn = true
+	return err
+}
+
 // notRun writes that the newest attempt of a message never ran.
-func (j *journal) notRun(id string) error { return j.write(0, putText([]byte{recNotRun}, id)) }
+func (j *journal) notRun(id string) error { return j.known(putText([]byte{recNotRun}, id)) }
 
 // owe writes that a notice is owed from now on.
 func (j *journal) owe(n *notice) error { return j.write(0, n.record(nil)) }
@@ -441,7 +455,7 @@
 	for i, id := range ids {
 		payloads[i] = putText([]byte{recEnded}, id)
 	}
-	return j.write(0, payloads...)
+	return j.known(payloads...)
 }
 
 func (j *journal) close() error { return j.file.Close() }
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -235,6 +235,56 @@
 	}
 }
 
+// What can't be written when it happens is written later: a delivery must not be repeated after a restart.
+func TestJournalTellsLaterWhatItCouldNotWrite(t *testing.T) {
+	j := open(t, t.TempDir(), 1e6)
+	for _, id := range []string{"delivered", "refused", "other"} {
+		must(t, j.take(testEntry(id)))
+	}
+	must(t, j.out(time.Now(), []attempt{{"delivered", 0}, {"refused", 0}}))
+	must(t, j.file.Close())
+	dir := j.dir
+	j.dir = filepath.Join(dir, "missing") // no new segment can be made for now
+	if j.end("delivered") == nil || j.notRun("refused") == nil {
+		t.Fatal("no fault is told")
+	}
+	j.dir = dir
+	must(t, j.end("other"))
+	k := open(t, dir, 1e6)
+	if len(k.live) != 1 || k.live["refused"] == nil || !k.live["refused"].doubtAt.IsZero() {
+		t.Errorf("after a restart: %v", k.live)
+	}
+}
+
+// Small records of what is held always have room, however full the journal is with messages.
+func TestJournalKeepsRoomForEnds(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir, 60<<10)
+	var ids []string
+	for i := 0; ; i++ {
+		e := testEntry(fmt.Sprint("m", i))
+		if j.take(e) != nil {
+			break
+		}
+		ids = append(ids, e.id)
+	}
+	for n := range 6 {
+		for _, id := range ids {
+			must(t, j.out(time.Now(), []attempt{{id, n % 2}}))
+			must(t, j.notRun(id))
+		}
+	}
+	for i, id := range ids {
+		if i%2 == 0 {
+			must(t, j.owe(&notice{id: id}))
+		}
+		must(t, j.end(id))
+	}
+	if n := diskUse(t, dir); n > 60<<10 || len(ids) < 20 {
+		t.Errorf("%d bytes on disk after %d messages", n, len(ids))
+	}
+}
+
 func FuzzReplay(f *testing.F) {
 	e := testEntry("a")
 	f.Add(e.state(frame(nil, []byte{recStart})))
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -55,6 +55,9 @@
 		{"no dest", func(r *http.Request) { r.Header.Del("Envelope") }, 400, "Envelope"},
 		{"dest", func(r *http.Request) { r.Header.Set("Envelope", "dest=-1") }, 400, "Envelope"},
 		{"no key", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400, "Idempotency-Key"},
+		{"long key", func(r *http.Request) { r.Header.Set("Idempotency-Key", strings.Repeat("k", 257)) }, 400, "Idempotency-Key"},
+		{"odd key", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k\xff") }, 400, "Idempotency-Key"},
+		{"key with a gap", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k k") }, 400, "Idempotency-Key"},
 		{"body", func(r *http.Request) {
 			r.Body = http.NoBody
 			big := strings.Repeat("x", maxBody+1)
@@ -566,3 +569,48 @@
 		}
 	}
 }
+
+// Endpoints, messages and clients that never return leave nothing behind.
+func TestNothingGrowsWithIdsThatNeverReturn(t *testing.T) {
+	l, f := bench(t)
+	l.ended(ended{f, []outcome{{index: 0, result: control.OK}, {index: 1, result: control.OK}}})
+	ids, left := 0, l.bodies.left.Load()
+	for round := range 3000 {
+		m := Member{ID: fmt.Sprint("e", round), HostPort: "127.0.0.1:1", Flavor: "hooks", Locality: "east", Cell: 1 + round%3, Phase: "active"}
+		old := m
+		l.roster(&Roster{Members: []Member{m}})
+		id := fmt.Sprint("m", ids)
+		ids++
+		e := testEntry(id)
+		e.dest, e.deadline = m.Cell, time.Now()
+		l.bodies.take(len(e.body))
+		in := &intake{entry: e, class: 1, reply: make(chan verdict, 1)}
+		if v := l.take(in); v.status != 202 {
+			t.Fatalf("%+v", v)
+		}
+		l.owe(&notice{id: id})
+		l.settle(l.held[id])
+		l.event(control.Event{Kind: control.Withdrawn, Message: control.MessageID(l.nextNum)})
+		l.pending = nil
+		if old.Phase = "left"; round%2 == 0 {
+			l.roster(&Roster{Members: []Member{old}})
+		} else {
+			l.roster(&Roster{kind: control.ListFull})
+		}
+		l.actions = l.d.Step(l.now(), l.events, l.actions[:0])
+		l.events = l.events[:0]
+	}
+	l.tidied = time.Time{}
+	l.tidy()
+	for name, n := range map[string]int{
+		"eps": len(l.eps), "byEp": len(l.byEp), "held": len(l.held), "byNum": len(l.byNum), "past": len(l.past),
+		"waits": len(l.waits), "live": len(l.j.live), "flights": len(l.flights), "named": len(l.named), "open": l.open,
+	} {
+		if n > 3 {
+			t.Errorf("%s: %d left", name, n)
+		}
+	}
+	if now := l.bodies.left.Load(); now != left {
+		t.Errorf("%d bytes of bodies are left of %d", now, left)
+	}
+}
