--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -67,6 +67,7 @@
 
 const (
 	idleMargin  = 300 * time.Millisecond // keeps a request from crossing the endpoint's own close of an idle connection
+	settled     = 100 * time.Millisecond // after so long an answer's connection is not about to be closed any more
 	answerSpan  = 400 * time.Millisecond // an answer that has begun must end within this
 	answerHead  = 32 << 10               // what may come ahead of a body, 1xx answers and all
 	answerBody  = 64 << 10               // what the protocol lets a body hold
@@ -89,6 +90,7 @@
 	peer   *peer
 	br     *bufio.Reader
 	left   int         // bytes that may still be read
+	used   time.Time   // when it became idle
 	expiry *time.Timer // while idle
 }
 
@@ -125,14 +127,21 @@
 // told from an answer.
 func (c *conn) clean() bool { return c.br.Buffered() == 0 && !readable(c.Conn) }
 
-// pop takes the newest idle connection, which has been idle for the shortest time.
+// pop takes the idle connection that was used last, so that those not needed run out, but for those used a moment ago:
+// some endpoints close a connection right after an answer, and that may still be under way. Of these it takes the oldest.
 func (p *pool) pop(q *peer) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(q.idle) == 0 {
 		return nil
 	}
-	c := q.idle[len(q.idle)-1]
+	c := q.idle[0]
+	for _, o := range slices.Backward(q.idle) {
+		if time.Since(o.used) >= settled {
+			c = o
+			break
+		}
+	}
 	p.remove(c)
 	return c
 }
@@ -145,6 +154,7 @@
 		c.Close()
 		return
 	}
+	c.used = time.Now()
 	c.peer.idle = append(c.peer.idle, c)
 	p.count++
 	if p.idle > 0 {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -613,6 +613,27 @@
 	}
 }
 
+// The connection used last goes first, but not before it is known to have outlived its answer.
+func TestWhichIdleConnectionIsTaken(t *testing.T) {
+	s := newScript(t, always(ok200))
+	p := testPool()
+	var list []*conn
+	for _, age := range []time.Duration{3 * time.Hour, 2 * time.Hour, 0, 0} {
+		c, err := net.Dial("tcp", s.addr)
+		must(t, err)
+		t.Cleanup(func() { c.Close() })
+		k := &conn{Conn: c, peer: s.peer, br: bufio.NewReader(c)}
+		p.put(k)
+		k.used = time.Now().Add(time.Hour - age) // the last two are never settled while the test runs
+		list = append(list, k)
+	}
+	for i, want := range []int{1, 0, 2, 3} {
+		if c := p.pop(s.peer); c != list[want] {
+			t.Fatalf("taken as number %d is not connection %d", i, want)
+		}
+	}
+}
+
 // FuzzAnswer: whatever an endpoint writes, reading it ends within bounds and tells no more than it may.
 func FuzzAnswer(f *testing.F) {
 	for _, a := range []string{ok200, status("429 x", "Retry-After: 1"), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
