Near the limit connections end with their answers: a crowd of clients no longer locks itself out

Cause: clients.go Accept and least: each of many clients asks once and keeps its connection; none is idle for 2 s yet when the door is full, so the newcomers were closed. Now answers say Connection: close while over three quarters of the places are taken, and idle connections to endpoints take no more than four for each call (config.go share).

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -96,7 +96,7 @@
 	if conn != nil {
 		conn.serving.Store(true)
 	}
-	if c.closing.Load() || !r.ProtoAtLeast(1, 1) {
+	if c.closing.Load() || !r.ProtoAtLeast(1, 1) || conn != nil && conn.door.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/-/ready" && (r.Method == http.MethodGet || r.Method == http.MethodHead) && framed(r) == nil {
@@ -365,6 +365,14 @@
 	}
 }
 
+// crowded tells that connections should end with their answers: what stays idle may not be closed soon enough where
+// many clients come and each keeps its connection.
+func (d *door) crowded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.open) > d.most*3/4
+}
+
 // least picks the connection to close: one whose request was refused, then silent new ones, then the longest idle,
 // then new ones that have said nothing yet. None has a request that may be taken on.
 func (d *door) least(now time.Time) *client {
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -116,6 +116,31 @@
 	}
 }
 
+// A crowd of clients that ask once and keep their connections does not lock out those that come next: near the limit
+// connections end with their answers.
+func TestACrowdIsServed(t *testing.T) {
+	w := newWorld(t)
+	w.maxOpen = 1000
+	w.start()
+	cfg, err := parseConfig(w.config(), w.env)
+	must(t, err)
+	closes := 0
+	n := 2 * cfg.share().clients
+	for i := range n {
+		_, br := w.raw(head(fmt.Sprint("m", i)) + "Content-Length: 0\r\n\r\n")
+		res, err := http.ReadResponse(br, nil)
+		if err != nil || res.StatusCode != 202 {
+			t.Fatalf("client %d of %d: %v %v", i, n, res, err)
+		}
+		if res.Close {
+			closes++
+		}
+	}
+	if closes == 0 || closes == n {
+		t.Errorf("%d of %d connections ended with their answers", closes, n)
+	}
+}
+
 func TestWhichConnectionGoes(t *testing.T) {
 	now := time.Now()
 	pair := func(spoke, open, braked bool, age time.Duration) *client {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -81,6 +81,7 @@
 
 const (
 	otherFiles   = 32       // descriptors that are neither a client's nor a call's, at most
+	idleCalls    = 4        // idle connections to endpoints for each call, at most
 	clientMemory = 64 << 10 // what a client's connection may take
 )
 
@@ -88,7 +89,7 @@
 func (c *Config) share() (s shares) {
 	rest := c.Sockets - min(otherFiles, c.Sockets/2)
 	s.calls = max(1, min(c.Settings.Slots, rest/3))
-	s.idle = (rest - s.calls) / 4
+	s.idle = min((rest-s.calls)/4, idleCalls*s.calls)
 	s.clients = max(1, min(rest-s.calls-s.idle, int(c.Memory/clientMemory)))
 	return s
 }
