Debug log tells each message's story; counters of the connections to endpoints

Need: the incident's logs held one line for each dispatcher, so neither the call, its outcome, its connection nor the reason of a retry could be read from them.

At level debug a message now leaves: submitted (verdict), attempt started (endpoint, connection, how many requests that one has carried), attempt ended (result, status, error), message ended, notice accepted. At warn, once a second at most: an endpoint has sent data that is no response to a request, with endpoint, address, connection and why. Counters of opened, failed and reused connections and of surplus data stand in the metrics beside the ledger.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -20,10 +20,11 @@
 
 // Driver runs an engine. Its exported methods may be called from any goroutine unless they say otherwise.
 type Driver struct {
-	host   host.Host
-	clock  engine.Clock
-	log    *slog.Logger
-	engine *engine.Engine
+	host     host.Host
+	clock    engine.Clock
+	log      *slog.Logger
+	messages messageLog
+	engine   *engine.Engine
 	Components
 
 	inbox   host.Inbox
@@ -72,7 +73,7 @@
 // the host returns from now on.
 func New(machine host.Host, clock engine.Clock, e *engine.Engine, log *slog.Logger) *Driver {
 	return &Driver{
-		host: machine, clock: clock, log: log, engine: e, inbox: machine.NewInbox(), replies: inboxPool{host: machine},
+		host: machine, clock: clock, log: log, messages: newMessageLog(log), engine: e, inbox: machine.NewInbox(), replies: inboxPool{host: machine},
 		admission:      admissionGate{gate: admission.New(admission.Settings{})},
 		madeInRound:    map[engine.CallID]uint64{},
 		verdictWaiters: map[engine.Ticket]host.Inbox{}, permitWaiters: map[engine.CallID]host.Inbox{},
@@ -340,6 +341,7 @@
 		d.lastTicket++
 		d.verdictWaiters[d.lastTicket] = v.reply
 		v.Ticket, v.ExpiresIn = d.lastTicket, d.clock.At(v.deadline)-d.now.At
+		d.messages.addSubmission(v.Ticket, &v.Message)
 		d.handle(&v.Submit)
 	case *groupSubmission:
 		d.lastTicket++
@@ -347,6 +349,7 @@
 		v.Ticket = d.lastTicket
 		for i := range v.Submissions {
 			v.Submissions[i].ExpiresIn = d.clock.At(v.deadlines[i]) - d.now.At
+			d.messages.addSubmission(v.Ticket, &v.Submissions[i].Message)
 		}
 		d.handle(&v.SubmitAll)
 	case *permitRequest:
@@ -438,6 +441,7 @@
 	for _, f := range effects {
 		switch f := f.(type) {
 		case *engine.Answer:
+			d.messages.logVerdict(f)
 			if r := d.verdictWaiters[f.Ticket]; r != nil {
 				delete(d.verdictWaiters, f.Ticket)
 				r.Put(&f.Verdict)
@@ -461,6 +465,7 @@
 			if f.Disposition != engine.Refused {
 				d.load.endedMessages++
 			}
+			d.messages.logEnd(f)
 			d.Sink.Completed(f)
 		case *engine.LedgerBreach:
 			d.reportBreach(f)
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -42,6 +42,9 @@
 
 // Cache makes pages and caches the newest ones. Its methods are safe for concurrent use. They block only in the source.
 type Cache struct {
+	// Counters returns the counters that Metrics shows beside the ledger; may be nil. It must be set before the first call.
+	Counters func() []Counter
+
 	source Source
 	now    func() time.Time
 
@@ -77,7 +80,11 @@
 	return b.page(&b.metrics, func(s *ledger.Snapshot) ([]byte, error) {
 		var text bytes.Buffer
 		text.Grow(len(b.metrics.text) + len(b.metrics.text)/16)
-		writeMetrics(&text, s, b.series.Select(s))
+		var counters []Counter
+		if b.Counters != nil {
+			counters = b.Counters()
+		}
+		writeMetrics(&text, s, b.series.Select(s), counters)
 		return text.Bytes(), nil
 	})
 }
--- a/internal/figures/metrics.go
+++ b/internal/figures/metrics.go
@@ -13,7 +13,7 @@
 // writeMetrics writes a snapshot in the OpenMetrics text format. Package exporter produces the same with
 // prometheus/client_golang, and its tests compare both. A dispatcher does not link that library, see
 // docs/design/ledger-shown.md.
-func writeMetrics(out *bytes.Buffer, snapshot *ledger.Snapshot, series []AccountSeries) {
+func writeMetrics(out *bytes.Buffer, snapshot *ledger.Snapshot, series []AccountSeries, counters []Counter) {
 	counts := make([]ledger.Count, 0, len(series)*len(AccountFamilies)) // the counts of one series after the other
 	labels := make([]string, len(series))
 	var buf []byte
@@ -36,9 +36,21 @@
 		buf = append(strconv.AppendFloat(buf, w.Value, 'f', -1, 64), '\n')
 		out.Write(buf)
 	})
+	for i := range counters {
+		writeHeader(out, &counters[i].Family)
+		buf = append(appendSampleName(buf[:0], &counters[i].Family), ' ')
+		buf = append(strconv.AppendUint(buf, counters[i].Value, 10), '\n')
+		out.Write(buf)
+	}
 	out.WriteString("# EOF\n")
 }
 
+// Counter is a metric that is not in the ledger. It counts from the start of the process.
+type Counter struct {
+	Family
+	Value uint64
+}
+
 func writeHeader(out *bytes.Buffer, family *Family) {
 	kind := " counter\n"
 	if family.Gauge {
--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -108,7 +108,8 @@
 				}
 				lines, err = w.query(figures.CommandMetrics)
 				var text string
-				if must(t, err); json.Unmarshal(lines[0], &text) != nil || !strings.Contains(text, "curlewmux_messages_open{class=\"keyed\",dest=\"1\",tenant=\"core\"} 1\n") {
+				if must(t, err); json.Unmarshal(lines[0], &text) != nil || !strings.Contains(text, "curlewmux_messages_open{class=\"keyed\",dest=\"1\",tenant=\"core\"} 1\n") ||
+					!strings.Contains(text, "\ncurlewmux_connections_opened_total 1\n") {
 					t.Errorf("%s", lines[0])
 				}
 				if _, err := w.query("list"); (err == nil) != strings.Contains(c.file, "[undelivered]") {
--- a/internal/transport/http/call.go
+++ b/internal/transport/http/call.go
@@ -33,6 +33,8 @@
 	outcomes     []engine.Outcome // of the other items, in the order in which they ended
 	notified     int              // number of outcomes that were passed to events
 	batch        bool             // the request holds several items
+	status       int              // status of the response; 0: there was none
+	err          error            // why there was none
 	deliveredAt  engine.Time      // when a status line with 200 arrived for a request with one item; 0: none has
 
 	singlePending [1]bool           // backs pending for the usual call with one item, without an allocation
@@ -68,6 +70,7 @@
 			k.awaitResponse(c)
 		} else { // the last byte was not written, so the call never ran
 			c.Close()
+			k.err = err
 			k.endUnwritten()
 		}
 	}
@@ -124,7 +127,7 @@
 		switch {
 		case !fresh && !c.IsIdle():
 			if c.HasData() {
-				k.t.distrust(k.peer)
+				k.surplus(c, "while the connection was idle")
 			}
 			c.Close()
 		case k.pendingCount == 0 || !k.t.commitWrite(k):
@@ -133,6 +136,10 @@
 			return nil, nil
 		default:
 			k.notify()
+			if c.requests++; c.requests > 1 {
+				k.t.counters.reused.Add(1)
+			}
+			k.logStart(c)
 			return c, request
 		}
 	}
@@ -147,10 +154,14 @@
 		limit = remaining
 	}
 	nc, err := k.t.host.Dial(k.Addr, limit, &k.abort)
+	if err != nil {
+		k.err = err
+		k.t.counters.dialsFailed.Add(1)
+	}
 	var timeout net.Error
 	switch {
 	case err == nil:
-		return newConn(k.t.host, nc, k.peer)
+		return k.newConn(nc)
 	case k.abort.Done(), limitedByDeadline && errors.As(err, &timeout) && timeout.Timeout(), !k.t.host.Now().Before(last), isLocalShortage(err):
 		k.endAll(control.Moot) // this failure says nothing about the endpoint
 	default:
@@ -159,6 +170,24 @@
 	return nil
 }
 
+// newConn wraps a connection that was opened.
+func (k *call) newConn(nc net.Conn) *conn {
+	k.t.counters.dials.Add(1)
+	c := newConn(k.t.host, nc, k.peer)
+	k.t.mu.Lock()
+	k.t.lastConnection++
+	c.number = k.t.lastConnection
+	k.t.mu.Unlock()
+	return c
+}
+
+// surplus handles data that an endpoint has sent and that is no response to a request.
+func (k *call) surplus(c *conn, when string) {
+	k.t.counters.surplus.Add(1)
+	k.logSurplus(c, when)
+	k.t.distrust(k.peer)
+}
+
 // isLocalShortage reports whether a dial failed because this machine lacks a resource, such as file descriptors.
 func isLocalShortage(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
@@ -172,10 +201,11 @@
 	})
 	k.abort.On(nil)
 	aborted := k.abort.Done() // if so, the connection is closed or about to be
+	k.status, k.err = response.Status, err
 	switch {
 	case err == nil:
 		if response.ExtraData {
-			k.t.distrust(k.peer)
+			k.surplus(c, "right behind a response")
 		}
 		if response.Reusable && !aborted {
 			k.t.putIdle(c)
@@ -191,7 +221,7 @@
 		k.endAll(control.TimedOut)
 	case errors.Is(err, http1.ErrUnsolicited): // the call may be running, but its response can no longer be recognised
 		c.Close()
-		k.t.distrust(k.peer)
+		k.surplus(c, "sooner than a response can arrive")
 		k.endAll(control.Reset)
 	case errors.Is(err, http1.ErrInvalidResponse): // the endpoint is reachable and may have run the call
 		c.Close()
@@ -263,6 +293,7 @@
 	k.pending[i] = false
 	k.pendingCount--
 	k.outcomes = append(k.outcomes, outcome)
+	k.logOutcome(&outcome)
 }
 
 // notify reports the outcomes that were added since the last notification.
--- a/internal/transport/http/pool.go
+++ b/internal/transport/http/pool.go
@@ -24,6 +24,8 @@
 type conn struct {
 	*http1.Conn
 	peer          *peer
+	number        uint64    // identifies it in the log
+	requests      int       // requests that were written to it, including the current one
 	closeFunc     func()    // closes the connection; created once to avoid an allocation for each call
 	requestBuffer []byte    // reused for requests
 	idleSince     time.Time // when it became idle
--- a/internal/transport/http/transport.go
+++ b/internal/transport/http/transport.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -24,6 +25,7 @@
 	DialBurst    int           // dials that may begin at once
 	DialInterval time.Duration // time between the dials after a burst; 0: dials are not limited
 	ReportFields []string      // names of the load report fields, in the order of engine.Outcome.LoadReport
+	Log          *slog.Logger  // nil: nothing is logged
 }
 
 // idleMargin is how much earlier than the endpoint the transport closes an idle connection, so that no request crosses the
@@ -36,6 +38,9 @@
 	clock       engine.Clock
 	settings    Settings
 	maxIdleTime time.Duration // how long a connection may be idle; 0: no limit
+	log         *slog.Logger
+	logsCalls   bool // each call is logged
+	counters    counters
 
 	mu         sync.Mutex
 	calls      map[engine.CallID]*call
@@ -45,6 +50,9 @@
 	dialQueue  dialQueue  // calls that wait to dial
 	closed     bool
 	callsEnded host.Inbox // created by Close; receives a value when the last call has ended
+
+	lastConnection uint64    // number of the newest connection
+	surplusLogged  time.Time // when surplus data was last logged
 }
 
 var _ engine.Transport = (*Transport)(nil)
@@ -85,6 +93,7 @@
 // New returns a transport on a host. The clock converts the host's time to the engine's.
 func New(h host.Host, clock engine.Clock, s Settings) *Transport {
 	t := &Transport{host: h, clock: clock, settings: s, calls: map[engine.CallID]*call{}, peers: map[endpointAddress]*peer{}}
+	t.setLog(s.Log)
 	if s.EndpointIdleTimeout > 0 {
 		t.maxIdleTime = max(s.EndpointIdleTimeout-idleMargin, s.EndpointIdleTimeout/2)
 	}
--- a/membership/partnerlist/notices.go
+++ b/membership/partnerlist/notices.go
@@ -126,6 +126,7 @@
 	ids := make([]string, count)
 	for i, m := range n.pending[:count] {
 		ids[i] = m.id
+		n.log.Debug("notice accepted", "message", m.id)
 	}
 	n.pending = slices.Delete(n.pending, 0, count)
 	n.suspectCount = max(0, n.suspectCount-count)
