--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -45,6 +45,7 @@
 	operatorText string // text of the operator's file, "" for none
 	t            *testing.T
 	agent        *httptest.Server
+	agentAddr    string // address of the agent, or of a proxy before it
 	addr         string // address that the dispatcher listens on
 	dir          string // state folder of the dispatcher
 	window       int    // of the keyed class, in microseconds
@@ -77,6 +78,7 @@
 		entries: map[string]partnerlist.Entry{}, changed: make(chan struct{}), notices: map[string][]string{}, calls: map[string]int{},
 	}
 	w.agent = httptest.NewServer(http.HandlerFunc(w.discovery))
+	w.agentAddr = w.agent.Listener.Addr().String()
 	t.Cleanup(func() {
 		w.agent.CloseClientConnections()
 		w.agent.Close()
@@ -218,7 +220,7 @@
 func (w *testEnv) config() []byte {
 	return fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.0,"memory_mb":%d,"sockets":256,"disk_mb":%g},"settings":%s}`,
-		w.addr, w.agent.Listener.Addr(), w.memoryMB, w.diskMB, fmt.Sprintf(settingsJSON, w.window, w.maxOpen))
+		w.addr, w.agentAddr, w.memoryMB, w.diskMB, fmt.Sprintf(settingsJSON, w.window, w.maxOpen))
 }
 
 func (w *testEnv) env(name string) string {
