Notices are sent on a connection each, so that no late copy acknowledges them

What callers saw: nothing yet; found by looking for the incident's mistake in related code. A message that was not delivered would end without its notice.

Cause: membership/partnerlist sends notices one after the other on one connection, and takes the next response for that of the latest request. A late copy of a 204 acknowledged notices that discovery had refused or never read.

Change: each request with notices has a connection of its own and says Connection: close. Notices that wait are sent together, so there are at most as many connections as responses. The watch keeps its connection: on a new one it would be a new watch, and a copy repeats a list that is applied already.

TestConnectionIsClosedOnMoveAndClose looked at an idle connection, which is no longer kept; TestConnectionOfACallIsClosed looks at the end of a call, a move and Close.

--- a/membership/partnerlist/notices.go
+++ b/membership/partnerlist/notices.go
@@ -165,8 +165,11 @@
 	return body, count
 }
 
+// post sends notices on a connection of their own: on a shared one, a late copy of an earlier response would acknowledge them.
 func (n *Notices) post(at *address, body []byte) (status int, err error) {
+	defer n.agent.disconnect()
 	b := http1.AppendRequest(make([]byte, 0, len(body)+256), http.MethodPost, at.addr, "/reports")
+	b = http1.AppendField(b, "Connection", "close")
 	b = http1.AppendField(b, "Content-Type", "application/x-ndjson")
 	a, err := n.agent.call(at, http1.AppendBody(b, body), reportTimeout, maxResponseBytes)
 	return a.Status, err
--- a/membership/partnerlist/notices_test.go
+++ b/membership/partnerlist/notices_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -243,18 +244,19 @@
 	}
 }
 
-// A persistent connection is closed when the address changes, and by Close.
-func TestConnectionIsClosedOnMoveAndClose(t *testing.T) {
+// The connection of a call is closed when the call has ended, when the address changes, and by Close.
+func TestConnectionOfACallIsClosed(t *testing.T) {
 	t.Parallel()
-	for name, leave := range map[string]func(*Notices){
-		"move": func(n *Notices) { n.SetAddress("127.0.0.1:1") }, "close": func(n *Notices) { n.Close() },
+	for name, end := range map[string]func(*Notices, net.Conn){
+		"response": func(_ *Notices, c net.Conn) { io.WriteString(c, status(204, "")) },
+		"move":     func(n *Notices, _ net.Conn) { n.SetAddress("127.0.0.1:1") },
+		"close":    func(n *Notices, _ net.Conn) { n.Close() },
 	} {
 		l, err := host.System{}.Listen("127.0.0.1:0")
 		requireNoError(t, err)
 		defer l.Close()
 		n := NewNotices(host.System{}, l.Addr().String(), discardLog())
-		acknowledged := make(chan []string, 1)
-		n.Start(func(ids []string) { acknowledged <- ids })
+		n.Start(func([]string) {})
 		defer n.Close()
 		n.Completed(failed("a"))
 		c, err := l.Accept()
@@ -266,10 +268,7 @@
 		requireNoError(t, err)
 		_, err = io.Copy(io.Discard, r.Body)
 		requireNoError(t, err)
-		_, err = io.WriteString(c, status(204, ""))
-		requireNoError(t, err)
-		<-acknowledged
-		leave(n)
+		end(n, c)
 		if _, err := br.ReadByte(); err != io.EOF {
 			t.Errorf("%s: reading from the connection returns %v, want EOF", name, err)
 		}
