Agent: notices that are passed on have a connection each

What callers saw: nothing yet; the incident's mistake in related code.

Cause: curlewmux-agent passes notices on through an http.Client that uses its connections again, and net/http matches responses by their order. A late copy of the platform's 204 acknowledged the next notices, which the platform had answered with 500.

Change: keep-alives are off for these requests.

Measured: TestLateCopyOfAResponseDoesNotAcknowledgeNotices failed before ('request 1: status 204, want 500') and passes; go test ./internal/agent passes.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -38,8 +38,9 @@
 	s := &server{
 		hub: h, reports: reports, log: log, watches: counted{most: mostWatches}, posts: counted{most: mostPosts},
 		http: &http.Client{
-			Timeout:       reportLimit,
-			Transport:     &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true},
+			Timeout: reportLimit,
+			// On a shared connection a late copy of a response would acknowledge the next notices.
+			Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		mux: http.NewServeMux(),
@@ -123,7 +124,6 @@
 		return
 	}
 	defer res.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(res.Body, mostReport)) // to use the connection again
 	w.WriteHeader(res.StatusCode)
 }
 
