--- a/internal/node/copies_test.go
+++ b/internal/node/copies_test.go
@@ -1,92 +1,38 @@
 package node
 
 import (
-	"bufio"
-	"bytes"
-	"io"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
-)
 
-// copyingProxy forwards requests and responses. Once armed, it repeats the previous response of a connection shortly after
-// the next request, ahead of the response to that one.
-type copyingProxy struct {
-	net.Listener
-	target string
-	path   string // of the requests that are answered with a copy, "" for all
-	armed  atomic.Bool
-	copies atomic.Int32 // number of copies that were sent
-	ended  sync.WaitGroup
-}
+	"curlewmux/internal/standin/faultproxy"
+)
 
 // copyDelay is the time between a request and the copy, as seen in the incident.
 const copyDelay = 3 * time.Millisecond
 
-func newCopyingProxy(t *testing.T, target string) *copyingProxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// lateCopyProxy starts a proxy that repeats the first response on a path shortly after the next request on its connection.
+func lateCopyProxy(t *testing.T, target, path string, copies bool) *faultproxy.Proxy {
+	rate := 0.0
+	if copies {
+		rate = 1
+	}
+	p, err := faultproxy.New(faultproxy.Settings{
+		Target: target, Rate: rate, Faults: []faultproxy.Fault{faultproxy.LateCopy}, Limit: 1, Path: path, CopyDelay: copyDelay,
+	})
 	must(t, err)
-	p := &copyingProxy{Listener: l, target: target}
-	p.ended.Go(p.accept)
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { p.Close() })
 	return p
 }
 
-func (p *copyingProxy) accept() {
-	for {
-		near, err := p.Accept()
-		if err != nil {
-			return
-		}
-		go p.serve(near)
-	}
-}
-
-func (p *copyingProxy) serve(near net.Conn) {
-	defer near.Close()
-	far, err := net.Dial("tcp", p.target)
-	if err != nil {
-		return
-	}
-	defer far.Close()
-	requests, responses := bufio.NewReader(near), bufio.NewReader(far)
-	var previous []byte
-	for {
-		request, err := http.ReadRequest(requests)
-		if err != nil || request.Write(far) != nil {
-			return
-		}
-		if previous != nil && (p.path == "" || p.path == request.URL.Path) && p.armed.CompareAndSwap(true, false) {
-			time.Sleep(copyDelay)
-			near.Write(previous)
-			p.copies.Add(1)
-		}
-		response, err := http.ReadResponse(responses, request)
-		if err != nil {
-			return
-		}
-		previous = encodeResponse(response)
-		if _, err := near.Write(previous); err != nil || response.Close {
-			return
-		}
-	}
-}
+// refusalTime is how long an endpoint takes to refuse a call, as seen in the incident.
+const refusalTime = 75 * time.Millisecond
 
-func encodeResponse(r *http.Response) []byte {
-	body, _ := io.ReadAll(r.Body)
-	r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
-	var b bytes.Buffer
-	r.Write(&b)
-	return b.Bytes()
-}
-
-// slowly responds after the time that an endpoint needs to refuse a call, so that a copy comes first.
+// slowly responds after refusalTime, so that a copy comes first.
 func slowly(status int) http.HandlerFunc {
 	return func(rw http.ResponseWriter, _ *http.Request) {
-		time.Sleep(75 * time.Millisecond)
+		time.Sleep(refusalTime)
 		rw.WriteHeader(status)
 	}
 }
@@ -142,19 +88,19 @@
 			w := newTestEnv(t)
 			script := &scriptedEndpoint{statuses: map[string][]int{"first": {c.first}, "next": c.status}, ran: map[string]int{}}
 			entry := w.endpoint("copied", 1, "hooks", script.ServeHTTP)
-			proxy := newCopyingProxy(t, entry.HostPort)
-			entry.HostPort = proxy.Addr().String()
+			proxy := lateCopyProxy(t, entry.HostPort, "/v1/messages", !c.silent)
+			entry.HostPort = proxy.Addr()
 			w.setEntry(entry)
 			cmd := w.spawn()
 			if c.first != 0 {
 				w.submit("free", "first", 1)
 				w.awaitEmpty()
 			}
-			proxy.armed.Store(!c.silent)
 			w.submit(c.class, "next", 1)
 			w.awaitEmpty()
+			time.Sleep(2 * refusalTime) // for a call that is still out
 			w.kill(cmd)
-			if proxy.copies.Load() == 0 && !c.silent {
+			if proxy.Copies() == 0 && !c.silent {
 				t.Fatal("the proxy has sent no copy")
 			}
 			runs, notified := script.runs("next"), w.noticed("next")
@@ -172,27 +118,27 @@
 	return len(w.notices[id]) > 0
 }
 
+// copyTime is the time in which a late copy arrives.
+const copyTime = 50 * time.Millisecond
+
 // A late copy of discovery's response to a notice must not acknowledge the next notice.
 func TestLateCopyOfAResponseDoesNotAcknowledgeANotice(t *testing.T) {
 	t.Parallel()
 	w := newTestEnv(t)
-	proxy := newCopyingProxy(t, w.agent.Listener.Addr().String())
-	proxy.path = "/reports"
-	w.agentAddr = proxy.Addr().String()
+	w.agentAddr = lateCopyProxy(t, w.agentAddr, "/reports", true).Addr()
 	w.endpoint("failing", 1, "hooks", respond(500))
 	cmd := w.spawn()
 	w.submit("unsafe", "first", 1)
 	w.awaitNotice("first", "undeliverable")
 	w.awaitEmpty()
 	w.update(func() { w.rejectNotices = true })
-	proxy.armed.Store(true)
 	w.submit("unsafe", "next", 1)
 	waitFor(t, func() bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return w.rejected > 0
 	})
-	time.Sleep(10 * copyDelay)
+	time.Sleep(copyTime)
 	w.update(func() { w.rejectNotices = false })
 	w.awaitEmpty()
 	w.kill(cmd)
