Batches share a connection as long as each response delivers all messages

Change: where an endpoint takes batches a message goes as a batch of one. The 200 names its messages, so a copy of an earlier one is known and skipped, and the connection carries further batches. Once a response was not a 200 that delivered all, its copy could end a later call, and the next request is the connection's last.

The node tests' endpoint answers batches as the protocol says.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -37,7 +37,7 @@
 const (
 	maxHeadBytes         = 32 << 10              // limit for all heads before a body, 1xx included; the same limit again for the heads of chunks
 	maxInterimResponses  = 8                     // 1xx responses before the final one
-	maxSkippedResponses  = 8                     // responses without the close option, with Limits.RequireClose
+	maxSkippedResponses  = 8                     // responses that belong to no request
 	readBufferSize       = 2 << 10               // holds a typical response completely
 	availableDataTimeout = 10 * time.Millisecond // far more than it takes to read data that has already arrived
 	maxInitialBodyBuffer = 64 << 10              // memory reserved for a body before its bytes arrive
@@ -55,13 +55,18 @@
 	// earlier one, and is skipped.
 	RequireClose bool
 
+	// Accept reports whether a complete response belongs to the request; others are skipped. If it is nil, the first one
+	// does.
+	Accept func(*Response) bool
+
 	Progress Progress // is notified while the response is read; may be nil
 }
 
 // Progress is notified while a response is read, on the goroutine that runs Conn.Read.
 type Progress interface {
 	// StatusLine reports that a status line has arrived, also that of each 1xx response. The rest of the response may
-	// still be invalid. With Limits.RequireClose it is called only once the head has shown the close option.
+	// still be invalid. With Limits.RequireClose it is called only once the head has shown the close option, and with
+	// Limits.Accept alone not at all.
 	StatusLine(status int)
 
 	// DeadlineReached is called when Limits.Deadline has passed. It returns a new deadline, or the zero time to stop
@@ -72,7 +77,7 @@
 // Response is a response that was read completely. After an error only Skipped is set.
 type Response struct {
 	Status    int
-	Skipped   int    // responses that came before this one and were skipped (Limits.RequireClose)
+	Skipped   int    // responses that came before this one and were skipped
 	Body      []byte // nil if it was discarded
 	Reusable  bool   // the connection stays open and nothing followed the response: it may carry another request
 	ExtraData bool   // more data followed the response
@@ -150,29 +155,37 @@
 	c.remaining, c.deadline, c.responseDeadline, c.progress, c.timedOut = maxHeadBytes, limits.Deadline, time.Time{}, limits.Progress, false
 	for c.skipped = 0; c.skipped <= maxSkippedResponses; c.skipped++ {
 		response, err := c.readNext(&limits)
-		if err != nil || response.closes || !limits.RequireClose {
+		if err != nil || limits.accepts(&response) {
 			response.Skipped = c.skipped
 			return response, err
 		}
 		c.remaining, c.responseDeadline = maxHeadBytes, time.Time{}
 	}
-	return c.readError(ErrInvalidResponse, errors.New("too many responses without the close option"))
+	return c.readError(ErrInvalidResponse, errors.New("too many responses that belong to no request"))
+}
+
+// accepts reports whether a response belongs to the request.
+func (l *Limits) accepts(response *Response) bool {
+	return (response.closes || !l.RequireClose) && (l.Accept == nil || l.Accept(response))
 }
 
+// mayMeetCopies reports whether copies of earlier responses may come before the response.
+func (l *Limits) mayMeetCopies() bool { return l.RequireClose || l.Accept != nil }
+
 // readNext reads the next final response on the connection.
 func (c *Conn) readNext(limits *Limits) (Response, error) {
 	for early := 0; early <= maxInterimResponses; early++ {
 		if _, err := c.br.Peek(1); err != nil {
 			return c.readError(ErrNoResponse, err)
 		}
-		if early == 0 && !limits.RequireClose && c.precedesRequest() {
+		if early == 0 && !limits.mayMeetCopies() && c.precedesRequest() {
 			return c.readError(ErrUnsolicited, errors.New("data was sent before the request can have arrived"))
 		}
 		if limits.ResponseTimeout > 0 {
 			c.responseDeadline = c.host.Now().Add(limits.ResponseTimeout)
 		}
 		status := c.peekStatus()
-		if status >= 100 && limits.Progress != nil && !limits.RequireClose {
+		if status >= 100 && limits.Progress != nil && !limits.mayMeetCopies() {
 			limits.Progress.StatusLine(status)
 		}
 		if status < 100 || status == http.StatusSwitchingProtocols {
@@ -221,7 +234,7 @@
 		return c.readError(ErrInvalidResponse, errTooLong)
 	}
 	response := Response{Status: res.StatusCode, header: res.Header, closes: res.Close}
-	if limits.RequireClose && isSplicedResponse(res) {
+	if limits.mayMeetCopies() && isSplicedResponse(res) {
 		return c.readError(ErrInvalidResponse, errSpliced)
 	}
 	c.headRead(&response, limits)
@@ -250,7 +263,7 @@
 		return c.readError(ErrInvalidResponse, errTooLong)
 	}
 	response := Response{Status: head.status, rawFields: head.fields, closes: head.close}
-	if limits.RequireClose && head.isSpliced() {
+	if limits.mayMeetCopies() && head.isSpliced() {
 		return c.readError(ErrInvalidResponse, errSpliced)
 	}
 	c.headRead(&response, limits)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -146,6 +146,15 @@
 	memoryPerID          = 2 << 10 // bytes of memory per remembered id of a finished message
 )
 
+// batchKinds returns, by kind of endpoint, whether it takes batches.
+func (c *Config) batchKinds() []bool {
+	list := make([]bool, len(c.Settings.Kinds))
+	for i := range c.Settings.Kinds {
+		list[i] = c.Settings.Kinds[i].Batch > 1
+	}
+	return list
+}
+
 // shareDescriptors divides the file descriptors. Calls get as many as there are slots, but no more than a third.
 func (c *Config) shareDescriptors() (s descriptorShares) {
 	rest := c.Sockets - min(reservedFiles, c.Sockets/2)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,7 +178,7 @@
 	n.transport = httptransport.New(n.host, n.clock, httptransport.Settings{
 		ConnectTimeout: engine.Duration(cfg.Settings.ConnectTimeout), EndpointIdleTimeout: engine.Duration(cfg.Settings.ConnIdle),
 		MaxIdle: share.idle, ReportFields: cfg.Reports, DialBurst: dialBurst, DialInterval: dialInterval,
-		Log: n.log,
+		BatchKinds: cfg.batchKinds(), Log: n.log,
 	})
 	n.watch = partnerlist.NewWatch(n.host, cfg.Discovery, n.log)
 	n.watch.Random = rand.New(rand.NewPCG(cfg.Seed, 1)).Float64
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -216,8 +216,24 @@
 	return ids
 }
 
+// respond gives each call the same status. A 200 to a batch says that all of its messages are delivered.
 func respond(code int) http.HandlerFunc {
-	return func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(code) }
+	return func(rw http.ResponseWriter, r *http.Request) {
+		rw.WriteHeader(code)
+		if code != http.StatusOK || !strings.HasSuffix(r.URL.Path, ":batch") {
+			return
+		}
+		type state struct {
+			ID    string `json:"id"`
+			State string `json:"state"`
+		}
+		body, _ := io.ReadAll(r.Body)
+		var list []state
+		for _, id := range idsOf(r, body) {
+			list = append(list, state{id, "delivered"})
+		}
+		json.NewEncoder(rw).Encode(list)
+	}
 }
 
 // hang never responds; it keeps a call until its connection ends.
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -72,7 +72,6 @@
 		{"refuse", 2, sec, 5 * sec, near, moods(true, func(m *mood, by int) { m.refuse += by })},
 		{"limit", 3, 2 * sec, 10 * sec, near, doLimit},
 		{"spoil", 3, 2 * sec, 10 * sec, near, doSpoil},
-		{"late-copies", 3, 2 * sec, 10 * sec, near, moods(false, func(m *mood, by int) { m.copies += by })},
 		{"replace", 3, 200 * ms, 2 * sec, near, doReplace},
 		{"wave", 2, 3 * sec, 8 * sec, nil, doWave},
 		{"readdress", 2, 100 * ms, sec, near, doReaddress},
@@ -107,7 +106,34 @@
 		{"paused", 2, 50 * ms, 3 * sec, inside, doPause},
 		{"over-answers", 2, 2 * sec, 8 * sec, near, doOver},
 		{"odd-reports", 1, 2 * sec, 10 * sec, nil, moods(false, func(m *mood, by int) { m.oddReports += by })},
-	}, sliceKinds()...)
+	}, append(sliceKinds(), lateCopies())...)
+}
+
+// lateCopies is the fault in which endpoints repeat each response after the next request. It is drawn by itself, so that the
+// other faults of a seed stay as they were before it came.
+func lateCopies() kindOf {
+	return kindOf{"late-copies", 0, 2 * time.Second, 10 * time.Second, nil, moods(false, func(m *mood, by int) { m.copies += by })}
+}
+
+// Faults of a seed that has any.
+const (
+	leastFaults = 3
+	mostFaults  = 9
+)
+
+// lateCopiesShare is the share of seeds with late copies.
+const lateCopiesShare = 0.3
+
+// addLateCopies adds late copies to the faults of some seeds.
+func (s *Script) addLateCopies(site *Site) {
+	d := stream(s.Seed, "late-copies", 0)
+	if !d.chance(lateCopiesShare) || len(s.Steps) == mostFaults {
+		return
+	}
+	k := lateCopies()
+	s.Steps = append(s.Steps, Step{
+		At: 1500*ms + d.span(0, site.Traffic), Kind: k.name, Target: d.n(1 << 16), For: d.span(k.least, k.most).Truncate(ms), Arg: d.n(1 << 30),
+	})
 }
 
 // Generate draws the faults of a seed. Each seed leaves some kinds out.
@@ -118,7 +144,7 @@
 	var weights []int
 	share := d.between(0.1, 0.6)
 	for _, k := range kinds() {
-		if ofSlices(k.name) && !site.Sliced {
+		if ofSlices(k.name) && !site.Sliced || k.weight == 0 {
 			continue
 		}
 		if d.chance(share) {
@@ -129,7 +155,7 @@
 	if len(list) == 0 {
 		return s
 	}
-	for range d.in(3, 9) {
+	for range d.in(leastFaults, mostFaults) {
 		k := list[d.pick(weights...)]
 		st := Step{
 			At: 1500*ms + d.span(0, site.Traffic), Kind: k.name, Target: d.n(1 << 16), For: d.span(k.least, k.most).Truncate(ms), Arg: d.n(1 << 30),
@@ -139,6 +165,7 @@
 		}
 		s.Steps = append(s.Steps, st)
 	}
+	s.addLateCopies(site)
 	sort.SliceStable(s.Steps, func(i, j int) bool { return s.Steps[i].At < s.Steps[j].At })
 	return s
 }
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -206,8 +206,8 @@
 	"ramp-forgotten":       255,
 	"outage-unseen":        3,
 	"order-forgotten":      2,
-	"rest-forgotten":       67,
-	"time-out-as-error":    38,
+	"rest-forgotten":       6,
+	"time-out-as-error":    6,
 	"wait-dropped":         2,
 	"wait-halved":          2,
 }
--- a/internal/transport/http/answer.go
+++ b/internal/transport/http/answer.go
@@ -46,20 +46,67 @@
 	k.notify()
 }
 
+// acceptOn returns what tells the response to a request on a connection from copies of earlier ones. It is nil if there
+// are none, or if the close option does that.
+func (k *call) acceptOn(c *conn) func(*http1.Response) bool {
+	if c.last || c.requests == 1 {
+		return nil
+	}
+	return k.namesItem
+}
+
+// namesItem reports whether a response may be that to this batch: a 200 has to name a message of it. Another status can't
+// be a copy, because each earlier response was a 200.
+func (k *call) namesItem(response *http1.Response) bool {
+	if response.Status != http.StatusOK {
+		return true
+	}
+	states := batchStates(response.Body)
+	for i := range k.Items {
+		if _, named := states[k.Items[i].ID]; named {
+			return true
+		}
+	}
+	return false
+}
+
+// deliversAll reports whether a response says that all messages of the call are delivered.
+func (k *call) deliversAll(response *http1.Response) bool {
+	if response.Status != http.StatusOK || !k.batch {
+		return response.Status == http.StatusOK
+	}
+	states := batchStates(response.Body)
+	for i, pending := range k.pending {
+		if pending && states[k.Items[i].ID] != stateDelivered {
+			return false
+		}
+	}
+	return true
+}
+
+const stateDelivered = "delivered" // of an item, in the response to a batch
+
+// batchStates reads the state of each message from the response to a batch.
+func batchStates(body []byte) map[string]string {
+	var list []struct{ ID, State string }
+	if json.Unmarshal(body, &list) != nil {
+		return nil
+	}
+	states := make(map[string]string, len(list))
+	for _, l := range list {
+		states[l.ID] = l.State
+	}
+	return states
+}
+
 // handleBatchStates reads the state of each item from the response to a batch. An item without a known state may have
 // run.
 func (k *call) handleBatchStates(body []byte, common engine.Outcome) {
-	var list []struct{ ID, State string }
-	states := map[string]string{}
-	if json.Unmarshal(body, &list) == nil {
-		for _, l := range list {
-			states[l.ID] = l.State
-		}
-	}
+	states := batchStates(body)
 	for i := range k.pending {
 		outcome := common
 		switch states[k.Items[i].ID] {
-		case "delivered":
+		case stateDelivered:
 			outcome.Result = control.OK
 		case "refused":
 			outcome.Result = control.Refused
--- a/internal/transport/http/call.go
+++ b/internal/transport/http/call.go
@@ -120,7 +120,8 @@
 				}
 			}
 		}
-		request := k.appendRequest(c.requestBuffer[:0], c.isUsed())
+		c.last = c.isLast(k.isBatch())
+		request := k.appendRequest(c.requestBuffer[:0], c.last)
 		if cap(request) <= maxKeptBuffer {
 			c.requestBuffer = request
 		}
@@ -198,7 +199,7 @@
 func (k *call) awaitResponse(c *conn) {
 	response, err := c.Read(http1.Limits{
 		Deadline: k.t.clock.Time(k.firstDeadline()), ResponseTimeout: responseTimeout, MaxBody: maxBody, DiscardBody: !k.batch, Progress: k,
-		RequireClose: c.requests > 1,
+		RequireClose: c.last, Accept: k.acceptOn(c),
 	})
 	k.abort.On(nil)
 	aborted := k.abort.Done() // if so, the connection is closed or about to be
@@ -214,6 +215,7 @@
 		if response.ExtraData {
 			k.surplus(c, "right behind a response")
 		}
+		c.hasOtherResponse = c.hasOtherResponse || !k.deliversAll(&response)
 		if response.Reusable && !aborted {
 			k.t.putIdle(c)
 		} else {
--- a/internal/transport/http/pool.go
+++ b/internal/transport/http/pool.go
@@ -24,11 +24,15 @@
 type conn struct {
 	*http1.Conn
 	peer          *peer
-	number        uint64    // identifies it in the log
-	requests      int       // requests that were written to it, including the current one
-	closeFunc     func()    // closes the connection; created once to avoid an allocation for each call
-	requestBuffer []byte    // reused for requests
-	idleSince     time.Time // when it became idle
+	number        uint64 // identifies it in the log
+	requests      int    // requests that were written to it, including the current one
+	closeFunc     func() // closes the connection; created once to avoid an allocation for each call
+	last          bool   // the current request is its last one
+	requestBuffer []byte // reused for requests
+
+	// A response was something else than a 200 that delivered all messages, so that a copy of it could end a later call.
+	hasOtherResponse bool
+	idleSince        time.Time // when it became idle
 
 	prev, next *conn // in the idleList
 }
@@ -39,6 +43,9 @@
 	return c
 }
 
+// isLast reports whether the next request on the connection has to be its last one. batch says that it is a batch.
+func (c *conn) isLast(batch bool) bool { return c.isUsed() && (!batch || c.hasOtherResponse) }
+
 // isUsed reports whether a request was written to the connection.
 func (c *conn) isUsed() bool { return c.requests > 0 }
 
--- a/internal/transport/http/pool_test.go
+++ b/internal/transport/http/pool_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -401,3 +402,45 @@
 		t.Errorf("%d connections became idle after Close", n)
 	}
 }
+
+// delivered returns the response to a batch that delivers these messages.
+func delivered(ids ...string) string {
+	body := `[{"id":"` + strings.Join(ids, `","state":"delivered"},{"id":"`) + `","state":"delivered"}]`
+	return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// Batches share a connection until a response is not a 200 that delivers all. A copy of an earlier response does not name
+// the messages of the batch, and is skipped.
+func TestBatchesShareAConnection(t *testing.T) {
+	t.Parallel()
+	s := newTestEndpoint(t, func(c net.Conn, r *receivedRequest) string {
+		switch {
+		case strings.Contains(r.body, `"late"`):
+			return delivered("early") + delivered("late")
+		case strings.Contains(r.body, `"refused"`):
+			return delivered("early") + status("503 x")
+		case strings.Contains(r.body, `"partly"`):
+			return strings.Replace(delivered("partly"), "delivered", "refused..", 1)
+		}
+		return delivered("early")
+	})
+	b := newHarnessWith(t, Settings{MaxIdle: 8, BatchKinds: []bool{true}})
+	for _, c := range []struct {
+		id     string
+		want   control.Result
+		dials  int32
+		closes bool
+	}{
+		{"early", control.OK, 1, false}, {"late", control.OK, 1, false}, {"early", control.OK, 1, false},
+		{"refused", control.Refused, 1, false}, {"early", control.OK, 1, true},
+		{"partly", control.Errored, 2, false}, {"early", control.OK, 2, true},
+	} {
+		o := b.run(s.addr, b.items(c.id)...)[0]
+		r := within(t, s.seen)
+		if o.Result != c.want || s.dials.Load() != c.dials || r.Close != c.closes || r.URL.Path != "/v1/messages:batch" {
+			t.Errorf("%s: outcome %v on connection %d, %s asks to close: %t; want %v, %d, %t",
+				c.id, o.Result, s.dials.Load(), r.URL.Path, r.Close, c.want, c.dials, c.closes)
+		}
+		b.advance(distrustedSettleTime)
+	}
+}
--- a/internal/transport/http/request.go
+++ b/internal/transport/http/request.go
@@ -15,13 +15,13 @@
 // connection behind its response.
 func (k *call) appendRequest(b []byte, closes bool) []byte {
 	var list []byte
-	if k.pendingCount > 1 {
+	if k.isBatch() {
 		list = k.batchBody()
 	}
 	if k.pendingCount == 0 {
 		return b
 	}
-	k.batch = k.pendingCount > 1
+	k.batch = k.isBatch()
 	path := "/v1/messages"
 	if k.batch {
 		path = "/v1/messages:batch"
@@ -48,6 +48,13 @@
 	return b
 }
 
+// isBatch reports whether the pending items go as a batch. A single one does, too, if the endpoint takes batches: the
+// response then names it.
+func (k *call) isBatch() bool {
+	takesBatches := k.Kind >= 0 && k.Kind < len(k.t.settings.BatchKinds) && k.t.settings.BatchKinds[k.Kind]
+	return k.pendingCount > 1 || takesBatches && k.pendingCount == 1
+}
+
 // batchBody returns the body of a batch, a JSON array of at most the size that the protocol allows. Items that don't fit
 // end as Moot. The first item always stays, so that each call makes progress.
 func (k *call) batchBody() []byte {
--- a/internal/transport/http/transport.go
+++ b/internal/transport/http/transport.go
@@ -24,6 +24,7 @@
 	MaxIdle      int
 	DialBurst    int           // dials that may begin at once
 	DialInterval time.Duration // time between the dials after a burst; 0: dials are not limited
+	BatchKinds   []bool        // by kind of endpoint: it takes batches
 	ReportFields []string      // names of the load report fields, in the order of engine.Outcome.LoadReport
 	Log          *slog.Logger  // nil: nothing is logged
 }
@@ -93,10 +94,11 @@
 	t.mu.Unlock()
 }
 
-// A connection carries two requests at most. HTTP/1.1 matches responses to requests by their order alone, so a late copy of
-// an earlier response, which faulty endpoints and proxies send, can't be told from the next response. The first response on
-// a connection has none before it. The second request asks the endpoint to close the connection, and only a response that
-// says so counts (http1.Limits.RequireClose). A third request would have nothing to tell its response by.
+// HTTP/1.1 matches responses to requests by their order alone, so a late copy of an earlier response, which faulty endpoints
+// and proxies send, may be taken for the next response. The first response on a connection has none before it. The last
+// request asks the endpoint to close the connection, and only a response that says so counts (http1.Limits.RequireClose).
+// Between the two there are only batches, whose 200 names the messages, and only while each response was a 200 that
+// delivered all: then a refusal can't be a copy either.
 
 // singleUseTime is how long an endpoint's connections carry one request only after it failed to confirm a close.
 const singleUseTime = 10 * time.Minute
