Transport: whether a request is the last one is decided where it is encoded; postmortem

appendRequest decides on the close option with the same knowledge by which it chooses a batch or a single message. Before, a batch of two whose second message does not fit could have become a single message without the option at an endpoint whose kind is not known to take batches; no setting leads there.

Measured: go test of internal/transport/http, internal/http1, internal/suite passes.

--- a/internal/transport/http/call.go
+++ b/internal/transport/http/call.go
@@ -120,8 +120,7 @@
 				}
 			}
 		}
-		c.last = c.isLast(k.isBatch())
-		request := k.appendRequest(c.requestBuffer[:0], c.last)
+		request := k.appendRequest(c.requestBuffer[:0], c)
 		if cap(request) <= maxKeptBuffer {
 			c.requestBuffer = request
 		}
--- a/internal/transport/http/request.go
+++ b/internal/transport/http/request.go
@@ -11,9 +11,9 @@
 )
 
 // appendRequest appends the request for the pending items: one message, or a batch of several. Items that don't fit into
-// the body of a batch end as Moot. If no item is pending, it appends nothing. closes asks the endpoint to close the
-// connection behind its response.
-func (k *call) appendRequest(b []byte, closes bool) []byte {
+// the body of a batch end as Moot. If no item is pending, it appends nothing. It decides whether the request is the last one on
+// the connection.
+func (k *call) appendRequest(b []byte, c *conn) []byte {
 	var list []byte
 	if k.isBatch() {
 		list = k.batchBody()
@@ -22,12 +22,13 @@
 		return b
 	}
 	k.batch = k.isBatch()
+	c.last = c.isLast(k.batch)
 	path := "/v1/messages"
 	if k.batch {
 		path = "/v1/messages:batch"
 	}
 	b = http1.AppendRequest(b, http.MethodPost, k.Addr, path)
-	if closes {
+	if c.last {
 		b = http1.AppendField(b, "Connection", "close")
 	}
 	rest := engine.Duration(k.firstDeadline() - k.t.clock.At(k.t.host.Now()))
