Mail: a late copy of a reply is not taken for the reply to a mail sent by BDAT

Cause: replies of SMTP are matched to commands by their order. With DATA the 354 shows a shift before a mail is sent. With BDAT nothing does: a copy of the last mail's 250 behind the next MAIL shifts the replies by one, and the reply to RCPT is taken for the reply to the mail.

Change: QUIT goes behind the chunk, and the replies right ahead of its 221 are those to the mail. A connection that ends without the 221 leaves the mail in doubt.

--- a/internal/transport/mail/conn.go
+++ b/internal/transport/mail/conn.go
@@ -57,6 +57,7 @@
 
 	mails int  // transactions that were begun
 	open  bool // the last one did not end by itself: RSET comes before the next
+	over  bool // QUIT was written
 	used  time.Time
 
 	// Of what is being read:
@@ -136,7 +137,7 @@
 
 // quit closes a connection that has no mail under way, with a word of farewell. It does not block.
 func (c *conn) quit() {
-	if c.clean() {
+	if !c.over && c.clean() {
 		_ = c.write([]byte("QUIT\r\n"), c.t.host.Now().Add(quitTime)) // it is only a courtesy
 	}
 	c.raw.Close()
--- a/internal/transport/mail/rig_test.go
+++ b/internal/transport/mail/rig_test.go
@@ -121,9 +121,14 @@
 }
 
 func (m *sim) startTo(ep control.Endpoint, may func() []bool, items ...engine.Item) *out {
+	return m.startAt(ep, "far:25", may, items...)
+}
+
+// startAt starts a call to an endpoint at an address.
+func (m *sim) startAt(ep control.Endpoint, addr string, may func() []bool, items ...engine.Item) *out {
 	m.calls++
 	o := &out{
-		Call: &engine.Call{ID: m.calls, Endpoint: ep, Addr: "far:25", Items: items}, t: m.t, may: may,
+		Call: &engine.Call{ID: m.calls, Endpoint: ep, Addr: addr, Items: items}, t: m.t, may: may,
 		told: m.host.NewInbox(), ends: make([]engine.Outcome, len(items)), left: len(items),
 	}
 	for i := range o.ends {
--- a/internal/transport/mail/transaction.go
+++ b/internal/transport/mail/transaction.go
@@ -102,6 +102,9 @@
 
 // spent tells that a connection may carry no more mails.
 func (c *conn) spent() bool {
+	if c.over {
+		return true
+	}
 	most := c.t.set.Partners[c.kind].PerConnection
 	if most <= 0 {
 		most = defaultPerConnection
@@ -340,12 +343,35 @@
 	return x.body(mail.AppendDotted(make([]byte, 0, len(x.content)+len(x.content)/64+8), x.content))
 }
 
-// chunk sends the content as one chunk.
+// chunk sends the content as one chunk, with QUIT behind it. Replies have no number, and BDAT has no reply of its own kind
+// as DATA has the 354. The reply to QUIT shows which replies came before it.
 func (x *transaction) chunk() error {
-	b := fmt.Appendf(make([]byte, 0, len(x.content)+32), "BDAT %d LAST\r\n", len(x.content))
-	return x.body(append(b, x.content...))
+	x.c.over = true
+	b := fmt.Appendf(make([]byte, 0, len(x.content)+64), "BDAT %d LAST\r\n", len(x.content))
+	return x.body(append(append(b, x.content...), "QUIT\r\n"...))
+}
+
+// chunkReplies reads the replies to a chunk: the last ones before the reply to QUIT. An earlier one is a late copy.
+func (x *transaction) chunkReplies(count int) ([]mail.Reply, error) {
+	var list []mail.Reply
+	for len(list) <= count+maxLateReplies {
+		r, err := x.reply(finalTime)
+		switch {
+		case err != nil:
+			return nil, err
+		case r.Code == codeBye && len(list) >= count:
+			return list[len(list)-count:], nil
+		}
+		list = append(list, r)
+	}
+	return nil, fmt.Errorf("%w: more of them than commands", mail.ErrReply)
 }
 
+const (
+	codeBye        = 221 // the reply to QUIT
+	maxLateReplies = 8   // late copies of replies ahead of those to a chunk
+)
+
 // body writes a mail in blocks. Until the last one is begun the mail can't have run; from then on it may have.
 func (x *transaction) body(b []byte) error {
 	if err := x.due(); err != nil {
@@ -371,8 +397,20 @@
 func (x *transaction) final() error {
 	k, c := x.k, x.c
 	lmtp := k.t.set.Partners[k.Kind].Protocol == mail.LMTP
+	next := func(int) (mail.Reply, error) { return x.reply(finalTime) }
+	if x.chunked {
+		count := 1
+		if lmtp {
+			count = len(x.items)
+		}
+		replies, err := x.chunkReplies(count)
+		if err != nil {
+			return err
+		}
+		next = func(n int) (mail.Reply, error) { return replies[n], nil }
+	}
 	for n := range x.items {
-		r, err := x.reply(finalTime)
+		r, err := next(n)
 		if err != nil {
 			return err
 		}
