--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -58,10 +58,9 @@
 	entries       map[string]partnerlist.Entry
 	changes       []partnerlist.Entry // all changes; their number is the revision
 	changed       chan struct{}
-	blockWatch    bool            // requests for the list get no response
-	rejectNotices bool            // notices are answered 500
-	onNotice      func(id string) // is called with each notice, if set
-	rejected      int             // number of requests with notices that were answered 500
+	blockWatch    bool // requests for the list get no response
+	rejectNotices bool // notices are answered 500
+	rejected      int  // number of requests with notices that were answered 500
 	notices       map[string][]string
 	calls         map[string]int // number of calls by message id
 	extraEnv      []string       // variables added to the program's environment
@@ -106,9 +105,6 @@
 				return
 			}
 			w.notices[n.ID] = append(w.notices[n.ID], n.Status)
-			if w.onNotice != nil {
-				w.onNotice(n.ID)
-			}
 		}
 		rw.WriteHeader(204)
 		return
--- a/internal/standin/faultproxy/fault.go
+++ b/internal/standin/faultproxy/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"time"
 )
@@ -49,17 +50,17 @@
 	p := c.proxy
 	switch fault {
 	case ResetInResponse:
-		c.forward(e, text[:p.upToBytes(len(text)-1)])
+		c.forward(e, p.randomPart(text))
 		c.reset()
 		return false
 	case CutResponse:
-		c.forward(e, text[:p.upToBytes(len(text)-1)])
+		c.forward(e, p.randomPart(text))
 		return false
 	case LostResponse:
 		c.awaitEnd()
 		return false
 	case SlowResponse:
-		time.Sleep(p.upTo(maxSlowTime))
+		time.Sleep(p.randomTime(maxSlowTime))
 	case TrickledResponse:
 		return c.trickle(e, text)
 	case EndlessResponse:
@@ -72,12 +73,12 @@
 	case LateCopy:
 		c.lateCopy = text
 	case CutCopy:
-		c.lateCopy = text[:p.upToBytes(len(text)-1)]
+		c.lateCopy = p.randomPart(text)
 	case NoiseBehind:
 		return c.forward(e, append(text[:len(text):len(text)], "\x00noise"...))
 	case IdleReset:
 		c.forward(e, text)
-		time.Sleep(p.upTo(maxIdleTime))
+		time.Sleep(p.randomTime(maxIdleTime))
 		c.reset()
 		return false
 	case HalfClose:
@@ -98,11 +99,16 @@
 		}
 		time.Sleep(trickleGap)
 	}
+	c.responded(e, text)
 	return true
 }
 
+// endlessHead is the head of a response that never ends.
+const endlessHead = "HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n"
+
 // sendEndless writes a response that never ends, until the caller closes its connection.
 func (c *connection) sendEndless(e Exchange) {
+	e.length = math.MaxInt
 	if !c.forward(e, []byte(endlessHead)) {
 		return
 	}
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -28,6 +27,9 @@
 	Request *http.Request
 	Body    []byte // of the request
 	Status  int    // of the response
+	Whole   bool   // all of the response was written, not only its status line
+
+	length int // of the response, in bytes
 }
 
 // Settings configure a proxy.
@@ -36,14 +38,14 @@
 	Seed   uint64  // determines the faults, for the same order of requests
 	Rate   float64 // share of the exchanges with a fault
 	Faults []Fault // that may occur; nil: all
-	Limit  int     // largest number of faults; 0: none
+	Limit  int     // largest number of faults; 0: no limit
 	Path   string  // only requests with this path meet faults; "": all
 
 	// CopyDelay is the time between a request and a late copy; 0: drawn anew each time, up to 5 ms.
 	CopyDelay time.Duration
 
-	// Responded is called when the status line of a response was written to the caller; may be nil. It is called on any
-	// goroutine.
+	// Responded is called when the status line of a response was written to the caller, and perhaps once more when all of it
+	// was; may be nil. It is called on any goroutine.
 	Responded func(Exchange)
 }
 
@@ -163,8 +165,8 @@
 	return f
 }
 
-// upTo returns a random duration below the limit.
-func (p *Proxy) upTo(limit time.Duration) time.Duration {
+// randomTime returns a random duration below the limit.
+func (p *Proxy) randomTime(limit time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return time.Duration(p.random.Int64N(int64(limit)))
@@ -174,14 +176,14 @@
 	if p.settings.CopyDelay > 0 {
 		return p.settings.CopyDelay
 	}
-	return p.upTo(maxCopyDelay)
+	return p.randomTime(maxCopyDelay)
 }
 
-// upToBytes returns a random number from 0 to n.
-func (p *Proxy) upToBytes(n int) int {
+// randomPart returns a part of a text from its beginning on, perhaps nothing but never all of it.
+func (p *Proxy) randomPart(text []byte) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.random.IntN(n + 1)
+	return text[:p.random.IntN(len(text))]
 }
 
 func (p *Proxy) serve(near net.Conn) {
@@ -240,7 +242,7 @@
 	if err != nil {
 		return false
 	}
-	return c.respond(fault, Exchange{request, body, response.StatusCode}, text) && !response.Close
+	return c.respond(fault, Exchange{Request: request, Body: body, Status: response.StatusCode, length: len(text)}, text) && !response.Close
 }
 
 // encode returns a response as it goes over the wire, with its body in one piece.
@@ -255,8 +257,7 @@
 	return b.Bytes(), err
 }
 
-// forward writes a part of a response that begins with its first byte, and reports the exchange once the status line was
-// written.
+// forward writes the beginning of a response, or all of it, and reports the exchange if the status line was written.
 func (c *connection) forward(e Exchange, text []byte) bool {
 	if _, err := c.near.Write(text); err != nil {
 		return false
@@ -265,8 +266,10 @@
 	return true
 }
 
+// responded reports an exchange of which this much of the response was written.
 func (c *connection) responded(e Exchange, text []byte) {
 	if bytes.IndexByte(text, '\n') >= 0 && c.proxy.settings.Responded != nil {
+		e.Whole = len(text) >= e.length
 		c.proxy.settings.Responded(e)
 	}
 }
@@ -281,5 +284,3 @@
 
 // awaitEnd waits until the caller has closed its connection.
 func (c *connection) awaitEnd() { io.Copy(io.Discard, c.near) }
-
-var endlessHead = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 1<<40)
