CloseIdle closes the connections of a distrusted endpoint, too

What callers saw: connections to an endpoint that had drained, left or stopped answering stayed open for some seconds, if it had sent surplus data in the 10 s before and they had been idle for less than 300 ms.

Cause: closeIdle took connections with takeIdle, which leaves out those that may not be used yet.

Change: it removes all idle connections of the endpoint.

Measured: TestIdleConnectionsAreClosed failed before ('2 idle connections after CloseIdle, want 0') and passes.

--- a/internal/transport/http/pool.go
+++ b/internal/transport/http/pool.go
@@ -181,10 +181,14 @@
 
 // closeIdle closes the idle connections to an endpoint.
 func (t *Transport) closeIdle(p *peer) {
-	for c := t.takeIdle(p); c != nil; c = t.takeIdle(p) {
-		c.Close()
-	}
 	t.mu.Lock()
+	list := slices.Clone(p.idle)
+	for _, c := range list {
+		t.removeIdle(c)
+	}
 	t.forgetUnused(p)
 	t.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
 }
--- a/internal/transport/http/pool_test.go
+++ b/internal/transport/http/pool_test.go
@@ -110,6 +110,7 @@
 	if n := b.idleCount(); n != 2 {
 		t.Errorf("%d idle connections after those of another endpoint were closed, want 2", n)
 	}
+	b.distrust(b.idleAt(1, s.addr)[0].peer) // its connections may not be used yet, but they close
 	b.CloseIdle(&engine.CloseIdle{Endpoint: 1, Addr: s.addr})
 	if n := b.idleCount(); n != 0 {
 		t.Errorf("%d idle connections after CloseIdle, want 0", n)
