An unconfirmed close also ends the idle connections that carried a request

What callers saw: after an endpoint had closed a connection without the close option, each connection that was idle then put one more call in doubt.

Cause: avoidReuse kept later connections to one request and left the idle ones, which had carried one already.

Change: it closes them.

Measured: TestUnconfirmedCloseIsInDoubt, with two idle connections, failed before ('request 1: outcome 5, want 0') and passes.

--- a/internal/transport/http/pool_test.go
+++ b/internal/transport/http/pool_test.go
@@ -221,10 +221,14 @@
 }
 
 // An endpoint that closes a connection without the close option leaves its last response in doubt. For a while its
-// connections carry one request only.
+// connections carry one request only, also those that are idle then.
 func TestUnconfirmedCloseIsInDoubt(t *testing.T) {
 	t.Parallel()
+	release := make(chan bool)
 	s := newTestEndpoint(t, func(c net.Conn, r *receivedRequest) string {
+		if r.Header.Get("X-Trace-Id") == "held" {
+			<-release
+		}
 		if !r.Close {
 			return ok200
 		}
@@ -232,22 +236,31 @@
 		return ""
 	})
 	b := newHarness(t)
-	for n, want := range []control.Result{control.OK, control.Reset, control.OK, control.OK} {
+	held := b.start(s.addr, nil, b.items("held")...)
+	within(t, s.seen)
+	b.run(s.addr, b.items("a")...)
+	release <- true
+	held.wait()
+	if n := b.idleCount(); n != 2 {
+		t.Fatalf("%d idle connections, want 2", n)
+	}
+	for n, want := range []control.Result{control.Reset, control.OK, control.OK} {
 		if o := b.run(s.addr, b.items("a")...)[0]; o.Result != want {
 			t.Errorf("request %d: outcome %v, want %v", n, o.Result, want)
 		}
+		b.advance(distrustedSettleTime)
 	}
-	if n := s.dials.Load(); n != 3 {
-		t.Errorf("%d connections for four requests, want 3", n)
+	if n := s.dials.Load(); n != 4 {
+		t.Errorf("%d connections, want 2 before the doubt and 2 after it", n)
 	}
 	b.advance(singleUseTime)
 	for range 2 {
 		b.run(s.addr, b.items("a")...)
 	}
-	if n := s.dials.Load(); n != 4 {
-		t.Errorf("%d connections after the restriction, want 4", n)
+	if n := s.dials.Load(); n != 5 {
+		t.Errorf("%d connections after the restriction, want 5", n)
 	}
-	if got := b.Counters(); got.Dials != 4 || got.Reused != 2 || got.Surplus != 2 {
+	if got := b.Counters(); got.Dials != 5 || got.Reused != 2 || got.Surplus != 2 {
 		t.Errorf("counters %+v", got)
 	}
 }
--- a/internal/transport/http/transport.go
+++ b/internal/transport/http/transport.go
@@ -108,6 +108,7 @@
 	t.mu.Lock()
 	p.singleUseUntil = t.host.Now().Add(singleUseTime)
 	t.mu.Unlock()
+	t.closeIdle(p)
 }
 
 // New returns a transport on a host. The clock converts the host's time to the engine's.
