Transport: comments say what surplus data still does, and which requests are safe

The comment on distrust named a reason (late data can't be told from a response) that no longer holds for copies; what holds is that other data makes a response unreadable. The account of the three kinds of safe request stands at isLast, which decides on them.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -37,7 +37,7 @@
 const (
 	maxHeadBytes         = 32 << 10              // limit for all heads before a body, 1xx included; the same limit again for the heads of chunks
 	maxInterimResponses  = 8                     // 1xx responses before the final one
-	maxSkippedResponses  = 8                     // responses that belong to no request
+	maxSkippedResponses  = 8                     // responses that belong to no request, ahead of the one that does
 	readBufferSize       = 2 << 10               // holds a typical response completely
 	availableDataTimeout = 10 * time.Millisecond // far more than it takes to read data that has already arrived
 	maxInitialBodyBuffer = 64 << 10              // memory reserved for a body before its bytes arrive
--- a/internal/transport/http/call.go
+++ b/internal/transport/http/call.go
@@ -32,9 +32,9 @@
 	pendingCount int              // number of pending items
 	outcomes     []engine.Outcome // of the other items, in the order in which they ended
 	notified     int              // number of outcomes that were passed to events
-	batch        bool             // the request holds several items
+	batch        bool             // the request is a batch, perhaps of one item
 	status       int              // status of the response; 0: there was none
-	err          error            // why there was none
+	err          error            // why there was none; for the log
 	deliveredAt  engine.Time      // when a status line with 200 arrived for a request with one item; 0: none has
 
 	singlePending [1]bool           // backs pending for the usual call with one item, without an allocation
--- a/internal/transport/http/pool.go
+++ b/internal/transport/http/pool.go
@@ -44,6 +44,13 @@
 }
 
 // isLast reports whether the next request on the connection has to be its last one. batch says that it is a batch.
+//
+// HTTP/1.1 matches responses to requests by their order alone, so a late copy of an earlier response, which faulty endpoints
+// and proxies send, may be taken for the next response. Three kinds of request are safe from that:
+//   - the first one on a connection, as no response came before it;
+//   - the last one, which asks the endpoint to close the connection: only a response that says so counts;
+//   - a batch while each response on the connection was a 200 that delivered all messages: a 200 names the messages of its
+//     batch, and any other status can't be a copy.
 func (c *conn) isLast(batch bool) bool { return c.isUsed() && (!batch || c.hasOtherResponse) }
 
 // isUsed reports whether a request was written to the connection.
--- a/internal/transport/http/transport.go
+++ b/internal/transport/http/transport.go
@@ -75,7 +75,7 @@
 	waitingToDial []*call // calls that wait for their turn to dial, oldest first
 
 	// Until this time a connection must stay idle for distrustedSettleTime before it is used again. The endpoint has
-	// sent more than its responses, and late surplus data can't be told from the response to the next call.
+	// sent more than its responses. Copies of responses are told apart, but other data ahead of a response makes it unreadable.
 	distrustedUntil time.Time
 
 	// Until this time a connection carries one request only. The endpoint did not confirm that it closes a connection.
@@ -94,12 +94,6 @@
 	t.mu.Unlock()
 }
 
-// HTTP/1.1 matches responses to requests by their order alone, so a late copy of an earlier response, which faulty endpoints
-// and proxies send, may be taken for the next response. The first response on a connection has none before it. The last
-// request asks the endpoint to close the connection, and only a response that says so counts (http1.Limits.RequireClose).
-// Between the two there are only batches, whose 200 names the messages, and only while each response was a 200 that
-// delivered all: then a refusal can't be a copy either.
-
 // singleUseTime is how long an endpoint's connections carry one request only after it failed to confirm a close.
 const singleUseTime = 10 * time.Minute
 
