--- a/review/drain/main.go
+++ b/review/drain/main.go
@@ -1,5 +1,5 @@
-// Command drain checks that a dispatcher sends nothing to an endpoint of which it was told more than the grace ago that
-// it drains, also when it is killed and started again while discovery is down.
+// Command drain checks that a dispatcher sends nothing to an endpoint once it counts as told, for longer than the grace,
+// that the endpoint drains: also when it was killed, and is started again while discovery is down.
 //
 // Its arguments are the root of the project and the folder for record.txt. Without the disruption (TROUBLE=0) neither
 // the outage of discovery nor the kill takes place.
@@ -18,8 +18,9 @@
 	slack     = 50 * time.Millisecond // each time limit is that much longer on sockets
 	outage    = 8 * time.Second       // of discovery, at most
 	downTime  = 600 * time.Millisecond
-	interval  = 100 * time.Millisecond // between two messages
-	beginning = 2 * time.Second        // before the change of the list
+	drainTime = 5500 * time.Millisecond // the site has 3.2 to 5.7 s
+	interval  = 100 * time.Millisecond  // between two messages
+	beginning = 2 * time.Second         // before the kill and the change of the list
 	end       = 14 * time.Second
 )
 
@@ -49,9 +50,8 @@
 	for _, id := range []string{"s-1", "s-2"} {
 		draining := id == "s-1"
 		e, err := standin.NewEndpoint(id, 1, standin.SingleKind, func(c *standin.Call) bool {
-			_, told := agent.Told(3)
 			status := 200
-			if draining && told { // it finishes what it has and turns away what is new
+			if _, revision := agent.List(); draining && revision > 2 { // it finishes what it has and turns away what is new
 				status = 503
 			}
 			record.AddAt(c.First, "%s got %s, answered %d", id, c.IDs(), status)
@@ -96,23 +96,33 @@
 		}
 	}()
 	time.Sleep(beginning)
-	leaving := agent.Set(endpoints[0].Member("leaving", 20))
-	time.Sleep(500 * time.Millisecond)
-	told, ok := agent.Told(leaving)
-	if !ok {
-		return false, fmt.Errorf("the dispatcher has no watch")
+	var told time.Time
+	if trouble {
+		d.Kill()
+		time.Sleep(downTime / 3)
 	}
+	leaving := agent.Set(endpoints[0].Member("leaving", 20))
+	time.AfterFunc(drainTime, func() {
+		record.Add("s-1 has drained and ends")
+		endpoints[0].Close()
+	})
 	if trouble {
+		time.Sleep(downTime / 3)
 		agent.Silence(true)
 		silentSince := time.Now()
-		time.Sleep(500 * time.Millisecond)
-		d.Kill()
-		time.Sleep(downTime)
+		time.Sleep(downTime / 3)
+		told = time.Now() // what the agent has counts as told from the first moment of the new process
 		if err := d.Start(); err != nil {
 			return false, err
 		}
 		time.Sleep(time.Until(silentSince.Add(outage)))
 		agent.Silence(false)
+	} else {
+		time.Sleep(500 * time.Millisecond)
+		var ok bool
+		if told, ok = agent.Told(leaving); !ok {
+			return false, fmt.Errorf("the dispatcher has no watch")
+		}
 	}
 	time.Sleep(time.Until(start.Add(end)))
 	close(stop)
@@ -122,7 +132,7 @@
 	for _, c := range endpoints[0].Calls() {
 		if c.First.After(told.Add(grace + slack)) {
 			late++
-			record.Add("BROKEN: s-1 got %s %.3f s after the dispatcher was told that it drains", c.IDs(), c.First.Sub(told).Seconds())
+			record.Add("BROKEN: s-1 got %s %.3f s after it counts as told that s-1 drains", c.IDs(), c.First.Sub(told).Seconds())
 		}
 	}
 	before := 0
--- a/review/firstline/main.go
+++ b/review/firstline/main.go
@@ -110,6 +110,9 @@
 			record.Add("notice %s for %s, delivered %.3f s before", n.Status, id, n.At.Sub(at).Seconds())
 		}
 	}
+	if len(runs) < messages/2 {
+		return false, fmt.Errorf("only %d messages ran", len(runs))
+	}
 	record.Add("%d messages ran; %d came again after their first line with 200", len(runs), len(late))
 	fmt.Printf("messages that came again after a first line with 200: %d\n", len(late))
 	return len(late) > 0, nil
--- /dev/null
+++ b/review/throng/main.go
@@ -0,0 +1,246 @@
+// Command throng checks that 30 dispatchers together do not push over a destination that was shut for 10 s, has told
+// them when it opens, and opens cold.
+//
+// Its arguments are the root of the project and the folder for record.txt. Without the disruption (TROUBLE=0) the
+// destination is neither shut nor cold.
+package main
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"curlewmux/review/standin"
+)
+
+const (
+	dispatchers = 30
+	capacity    = 9.0  // calls a second that the destination takes when it is warm: the list's size
+	load        = 1.15 // messages a second, as a share of that
+
+	calm     = 15 * time.Second
+	shut     = 10 * time.Second
+	watched  = 6 * time.Second
+	told     = 0.95 // share of refusals while it is shut that tell when it opens
+	depth    = 0.5  // seconds of work that it queues
+	coldFrom = 0.19
+	warmUp   = 10 * time.Second
+	tip      = 2.0
+	span     = 2 * time.Second
+
+	leastServed = 60 // calls answered 200, or the run has shown nothing
+)
+
+func main() {
+	broken, err := run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		fmt.Println("could not run:", err)
+		os.Exit(2)
+	case broken:
+		os.Exit(1)
+	}
+}
+
+// share is what part of its calls the destination can take a time after its return.
+func share(since time.Duration) float64 {
+	if since >= warmUp {
+		return 1
+	}
+	return coldFrom + (1-coldFrom)*since.Seconds()/warmUp.Seconds()
+}
+
+// allowed is how many calls a span may bring that begins a time after the return: N, and with the slack for chance.
+func allowed(begin time.Duration) (n, most float64) {
+	const steps = 1000
+	for i := range steps {
+		n += tip * capacity * share(begin+span*time.Duration(2*i+1)/(2*steps)) * span.Seconds() / steps
+	}
+	if n < 30 {
+		return n, n + 3*math.Sqrt(n) + 3
+	}
+	return n, n + 2*math.Sqrt(n) + 2
+}
+
+// destination is the one destination, with one endpoint.
+type destination struct {
+	mu        sync.Mutex
+	random    *rand.Rand
+	opens     time.Time // when it opens, if it is or was shut
+	isShut    bool
+	busyUntil time.Time         // when it will have done all that it has taken
+	told      map[string]string // by dispatcher: when it was first refused, for the record
+	arrivals  []arrival         // since it opened
+	served    int               // calls answered 200
+}
+
+type arrival struct {
+	at         time.Time
+	dispatcher string
+}
+
+// take decides what becomes of a call.
+func (d *destination) take(dispatcher string, now time.Time) (status int, wait, work time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isShut && now.Before(d.opens) {
+		if d.told[dispatcher] == "" {
+			d.told[dispatcher] = now.Format(time.StampMilli)
+		}
+		if d.random.Float64() < told {
+			return http.StatusTooManyRequests, d.opens.Sub(now), 5 * time.Millisecond
+		}
+		return http.StatusServiceUnavailable, 0, 5 * time.Millisecond
+	}
+	rate := capacity
+	if d.isShut {
+		rate *= share(now.Sub(d.opens))
+		d.arrivals = append(d.arrivals, arrival{now, dispatcher})
+	}
+	if d.busyUntil.Before(now) {
+		d.busyUntil = now
+	}
+	queue := d.busyUntil.Sub(now)
+	if queue.Seconds() > depth {
+		return http.StatusServiceUnavailable, 0, 5 * time.Millisecond
+	}
+	d.served++
+	d.busyUntil = d.busyUntil.Add(time.Duration(float64(time.Second) / rate))
+	return http.StatusOK, 0, queue + 120*time.Millisecond + time.Duration(d.random.Int64N(int64(90*time.Millisecond)))
+}
+
+func run(root, dir string, trouble bool) (broken bool, err error) {
+	record, err := standin.NewRecord(dir)
+	if err != nil {
+		return false, err
+	}
+	record.Add("TROUBLE=%v", trouble)
+	dest := &destination{random: rand.New(rand.NewPCG(7, 8)), told: map[string]string{}}
+	e, err := standin.NewEndpoint("s-1", 1, standin.BatchKind, func(c *standin.Call) bool {
+		dispatcher := c.Messages[0].ID[:4]
+		status, wait, work := dest.take(dispatcher, c.Last)
+		header := http.Header{}
+		if wait > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		}
+		time.Sleep(work)
+		record.AddAt(c.Last, "s-1 got a call of %s with %d messages (%s), answered %d, wait %.3f s", dispatcher, len(c.Messages), c.IDs(), status, wait.Seconds())
+		return c.Reply(status, header, nil)
+	})
+	if err != nil {
+		return false, err
+	}
+	defer e.Close()
+
+	var agents []*standin.Agent
+	var list []*standin.Dispatcher
+	defer func() {
+		for _, d := range list {
+			d.Remove()
+		}
+		for _, a := range agents {
+			a.Close()
+		}
+	}()
+	for k := range dispatchers {
+		agent, err := standin.NewAgent(record)
+		if err != nil {
+			return false, err
+		}
+		agents = append(agents, agent)
+		agent.Set(e.Member("active", capacity))
+		settings := standin.Settings()
+		settings["instances"], settings["me"] = dispatchers, k
+		settings["extra"].(map[string]any)["slots"] = 2
+		settings["limits"].(map[string]any)["max-open"] = 30
+		d, err := standin.NewDispatcher(root, record, standin.Config{
+			Name: fmt.Sprint("n", k), Discovery: agent.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024, DiskMB: 3,
+		})
+		if err != nil {
+			return false, err
+		}
+		list = append(list, d)
+		if err := d.Start(); err != nil {
+			return false, err
+		}
+	}
+
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for k, d := range list {
+		wg.Go(func() {
+			client := &standin.Client{Addr: d.Config.Listen, Record: record}
+			defer client.Close()
+			source := rand.New(rand.NewPCG(9, uint64(k)))
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(source.ExpFloat64() * dispatchers / (capacity * load) * float64(time.Second))):
+				}
+				m := standin.Submission{ID: fmt.Sprintf("%04x%012x", k, n+1), Dest: 1, Body: []byte("signed")}
+				if m.Class, m.Expires = "release-upload", 28*time.Second; source.Float64() < 0.5 {
+					m.Class, m.Expires, m.Key = "sync-request", 24*time.Second, "key"+m.ID
+				}
+				client.Submit(m)
+			}
+		})
+	}
+	time.Sleep(calm)
+	dest.mu.Lock()
+	dest.isShut, dest.opens = trouble, time.Now().Add(shut)
+	opens := dest.opens
+	dest.mu.Unlock()
+	record.Add("the destination shuts: %v", trouble)
+	time.Sleep(time.Until(opens))
+	record.Add("the destination opens, cold: %v", trouble)
+	time.Sleep(watched)
+	close(stop)
+	wg.Wait()
+
+	dest.mu.Lock()
+	defer dest.mu.Unlock()
+	if dest.served < leastServed {
+		return false, fmt.Errorf("only %d calls were answered 200", dest.served)
+	}
+	sort.Slice(dest.arrivals, func(i, j int) bool { return dest.arrivals[i].at.Before(dest.arrivals[j].at) })
+	worst := 0.0
+	var line string
+	for i := -1; i < len(dest.arrivals); i++ { // spans that begin at the return, or just before a call
+		begin := opens
+		if i >= 0 {
+			begin = dest.arrivals[i].at
+		}
+		if begin.After(opens.Add(watched - span)) {
+			break
+		}
+		calls, had := 0, 0
+		for _, a := range dest.arrivals {
+			if !a.at.Before(begin) && a.at.Before(begin.Add(span)) {
+				calls++
+				if dest.told[a.dispatcher] != "" {
+					had++
+				}
+			}
+		}
+		n, most := allowed(begin.Sub(opens))
+		if ratio := float64(calls) / most; ratio > worst && 3*had > 2*calls {
+			worst = ratio
+			line = fmt.Sprintf("%d calls in the %v from %.2f s after the return, %d of them from dispatchers that had been refused there; N = %.1f, at most %.1f",
+				calls, span, begin.Sub(opens).Seconds(), had, n, most)
+		}
+	}
+	broken = trouble && worst > 1
+	if broken {
+		record.Add("BROKEN: %s", line)
+	}
+	record.Add("fullest span: %s; %d of %d dispatchers had been refused", line, len(dest.told), dispatchers)
+	fmt.Printf("pushed over: %v; fullest span: %s\n", broken, line)
+	return broken, nil
+}
