--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
-GOFLAGS= GOWORK=off go build -o bin/ ./throng ./drain ./firstline
+GOFLAGS= GOWORK=off go build -o bin/ ./stuck ./throng ./drain
--- a/review/standin/dispatcher.go
+++ b/review/standin/dispatcher.go
@@ -76,6 +76,8 @@
 	Config Config
 	Record *Record
 
+	Operator string // content of the operator's file, "" for none
+
 	command string
 	cmd     *exec.Cmd
 	exited  chan error
@@ -151,7 +153,15 @@
 	if err := d.WriteConfig(); err != nil {
 		return err
 	}
-	cmd := exec.Command("/bin/sh", "-c", d.command)
+	command := d.command
+	if d.Operator != "" {
+		name := filepath.Join(d.Dir, "operator.toml")
+		if err := os.WriteFile(name, []byte(d.Operator), 0o600); err != nil {
+			return err
+		}
+		command += " --operator " + name
+	}
+	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir = d.Root
 	cmd.Env = append(os.Environ(),
 		"EDGE_CONFIG="+filepath.Join(d.Dir, "config.json"), "EDGE_STATE="+d.StateDir(), "EDGE_NAME="+d.Config.Name,
