--- a/review/standin/agent.go
+++ b/review/standin/agent.go
@@ -32,6 +32,8 @@
 // Agent is discovery's agent on the dispatcher's machine: the list with its watch, and notices.
 type Agent struct {
 	Record *Record
+	// OnNotice, if set before the dispatcher starts, is called with each notice. It must not block.
+	OnNotice func(Notice)
 
 	server   *server
 	mu       sync.Mutex
@@ -124,7 +126,7 @@
 
 func (a *Agent) serve(c *Conn) {
 	for {
-		request, body, _, err := c.Read()
+		request, body, _, err := c.Read(nil)
 		if err != nil {
 			return
 		}
@@ -149,6 +151,9 @@
 			}
 			a.notices[n.ID] = append(a.notices[n.ID], n)
 			a.Record.AddAt(now, "notice: %s %s", n.ID, n.Status)
+			if a.OnNotice != nil {
+				a.OnNotice(n)
+			}
 		}
 		return http.StatusNoContent, nil
 	case "/api/targets":
--- a/review/standin/conn.go
+++ b/review/standin/conn.go
@@ -98,12 +98,15 @@
 	return c
 }
 
-// Read reads a request. first is when its first byte was seen.
-func (c *Conn) Read() (request *http.Request, body []byte, first time.Time, err error) {
+// Read reads a request. first is when its first byte was seen; idle, if not nil, is stopped then.
+func (c *Conn) Read(idle *time.Timer) (request *http.Request, body []byte, first time.Time, err error) {
 	if _, err = c.br.Peek(1); err != nil {
 		return nil, nil, first, err
 	}
 	first = time.Now()
+	if idle != nil {
+		idle.Stop()
+	}
 	if request, err = http.ReadRequest(c.br); err != nil {
 		return nil, nil, first, err
 	}
--- a/review/standin/dispatcher.go
+++ b/review/standin/dispatcher.go
@@ -75,6 +75,7 @@
 	Dir    string // a temporary folder
 	Config Config
 	Record *Record
+	Began  time.Time // when its process was last started
 
 	Operator string // content of the operator's file, "" for none
 
@@ -173,7 +174,7 @@
 	}
 	exited := make(chan error, 1)
 	go func() { exited <- cmd.Wait() }()
-	d.cmd, d.exited = cmd, exited
+	d.cmd, d.exited, d.Began = cmd, exited, time.Now()
 	d.Record.Add("dispatcher started, pid %d", cmd.Process.Pid)
 	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		select {
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -15,6 +15,9 @@
 	Body    []byte
 }
 
+// idleMost is how long a connection may stand idle: limits.conn-idle.
+const idleMost = 5 * time.Second
+
 // Call is a call that an endpoint got, from its last byte on.
 type Call struct {
 	Endpoint string
@@ -92,7 +95,8 @@
 
 func (e *Endpoint) serve(c *Conn, handle func(*Call) bool) {
 	for n := 1; ; n++ {
-		request, body, first, err := c.Read()
+		idle := time.AfterFunc(idleMost, c.Close)
+		request, body, first, err := c.Read(idle)
 		if err != nil {
 			return
 		}
--- a/review/throng/main.go
+++ b/review/throng/main.go
@@ -21,8 +21,11 @@
 
 const (
 	dispatchers = 30
-	capacity    = 9.0  // calls a second that the destination takes when it is warm: the list's size
-	load        = 1.15 // messages a second, as a share of that
+	// What the destination can do when it is warm, in calls a second. Its limit, which the list has as its size, is lower
+	// by the site's "spare" (1.2 to 1.5), and messages come at about full load, which the limit covers 0.98 to 2.1 times.
+	capacity = 9.0
+	limit    = 7.5 // counted in windows of 2 s; what is refused does not count
+	rate     = 9.0 // messages a second
 
 	calm     = 15 * time.Second
 	shut     = 10 * time.Second
@@ -75,6 +78,8 @@
 	opens     time.Time // when it opens, if it is or was shut
 	isShut    bool
 	busyUntil time.Time         // when it will have done all that it has taken
+	window    time.Time         // when the window of the limit began
+	used      float64           // calls taken in it
 	told      map[string]string // by dispatcher: when it was first refused, for the record
 	arrivals  []arrival         // since it opened
 	served    int               // calls answered 200
@@ -110,11 +115,96 @@
 	if queue.Seconds() > depth {
 		return http.StatusServiceUnavailable, 0, 5 * time.Millisecond
 	}
+	if now.Sub(d.window) >= span {
+		d.window, d.used = now, 0
+	}
+	if d.used >= limit*span.Seconds() {
+		if d.random.Float64() < told {
+			return http.StatusTooManyRequests, d.window.Add(span).Sub(now), 5 * time.Millisecond
+		}
+		return http.StatusServiceUnavailable, 0, 5 * time.Millisecond
+	}
+	d.used++
 	d.served++
 	d.busyUntil = d.busyUntil.Add(time.Duration(float64(time.Second) / rate))
 	return http.StatusOK, 0, queue + 120*time.Millisecond + time.Duration(d.random.Int64N(int64(90*time.Millisecond)))
 }
 
+// clients are those of one dispatcher. They hand a message in again after a refusal, up to retries times after a pause.
+type clients struct {
+	k      int
+	client *standin.Client
+	source *rand.Rand // used by run alone
+	again  chan *message
+
+	mu       sync.Mutex
+	handedIn map[string]*message // by id
+}
+
+// message is what a client wants to be delivered.
+type message struct {
+	standin.Submission
+	until time.Time
+	tries int
+}
+
+const (
+	retries    = 3
+	leastPause = 570 * time.Millisecond
+	mostPause  = 1400 * time.Millisecond
+)
+
+// refused has a message come again.
+func (c *clients) refused(m *message) {
+	if m.tries++; m.tries <= retries {
+		time.AfterFunc(leastPause+time.Duration(rand.Int64N(int64(mostPause-leastPause))), func() { c.again <- m })
+	}
+}
+
+// notice handles a notice.
+func (c *clients) notice(n standin.Notice) {
+	c.mu.Lock()
+	m := c.handedIn[n.ID]
+	delete(c.handedIn, n.ID)
+	c.mu.Unlock()
+	if m != nil && n.Status == "deferred" {
+		c.refused(m)
+	}
+}
+
+func (c *clients) run(stop chan struct{}) {
+	defer c.client.Close()
+	gap := func() time.Duration {
+		return time.Duration(c.source.ExpFloat64() * dispatchers / rate * float64(time.Second))
+	}
+	next := time.NewTimer(gap())
+	for n := 1; ; n++ {
+		m := &message{}
+		select {
+		case <-stop:
+			return
+		case m = <-c.again:
+		case <-next.C:
+			next.Reset(gap())
+			m.Dest, m.Body = 1, []byte("signed")
+			if m.Class, m.Expires = "release-upload", 28*time.Second; c.source.Float64() < 0.5 {
+				m.Class, m.Expires, m.Key = "sync-request", 24*time.Second, fmt.Sprintf("key%04x%012x", c.k, n)
+			}
+			m.until = time.Now().Add(m.Expires)
+		}
+		if m.Expires = time.Until(m.until); m.Expires < 10*time.Millisecond {
+			continue
+		}
+		m.ID = fmt.Sprintf("%04x%012x", c.k, n)
+		c.mu.Lock()
+		c.handedIn[m.ID] = m
+		c.mu.Unlock()
+		if status := c.client.Submit(m.Submission); status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			c.refused(m)
+		}
+	}
+}
+
 func run(root, dir string, trouble bool) (broken bool, err error) {
 	record, err := standin.NewRecord(dir)
 	if err != nil {
@@ -148,17 +238,21 @@
 			a.Close()
 		}
 	}()
+	var crowd []*clients
 	for k := range dispatchers {
 		agent, err := standin.NewAgent(record)
 		if err != nil {
 			return false, err
 		}
 		agents = append(agents, agent)
-		agent.Set(e.Member("active", capacity))
+		agent.Set(e.Member("active", limit))
+		c := &clients{k: k, source: rand.New(rand.NewPCG(9, uint64(k))), handedIn: map[string]*message{}, again: make(chan *message, 10_000)}
+		agent.OnNotice = c.notice
+		crowd = append(crowd, c)
 		settings := standin.Settings()
 		settings["instances"], settings["me"] = dispatchers, k
 		settings["extra"].(map[string]any)["slots"] = 2
-		settings["limits"].(map[string]any)["max-open"] = 30
+		settings["limits"].(map[string]any)["max-open"] = 8
 		d, err := standin.NewDispatcher(root, record, standin.Config{
 			Name: fmt.Sprint("n", k), Discovery: agent.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024, DiskMB: 3,
 		})
@@ -166,6 +260,7 @@
 			return false, err
 		}
 		list = append(list, d)
+		c.client = &standin.Client{Addr: d.Config.Listen, Record: record}
 		if err := d.Start(); err != nil {
 			return false, err
 		}
@@ -173,24 +268,8 @@
 
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for k, d := range list {
-		wg.Go(func() {
-			client := &standin.Client{Addr: d.Config.Listen, Record: record}
-			defer client.Close()
-			source := rand.New(rand.NewPCG(9, uint64(k)))
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(time.Duration(source.ExpFloat64() * dispatchers / (capacity * load) * float64(time.Second))):
-				}
-				m := standin.Submission{ID: fmt.Sprintf("%04x%012x", k, n+1), Dest: 1, Body: []byte("signed")}
-				if m.Class, m.Expires = "release-upload", 28*time.Second; source.Float64() < 0.5 {
-					m.Class, m.Expires, m.Key = "sync-request", 24*time.Second, "key"+m.ID
-				}
-				client.Submit(m)
-			}
-		})
+	for k := range list {
+		wg.Go(func() { crowd[k].run(stop) })
 	}
 	time.Sleep(calm)
 	dest.mu.Lock()
