--- a/review/drain/main.go
+++ b/review/drain/main.go
@@ -8,7 +8,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,10 +17,10 @@
 
 const (
 	dispatchers = 3
-	killed      = 2                     // of them: at most seven in ten
-	grace       = time.Second           // rules.stop-sending-within
-	slack       = 50 * time.Millisecond // each time limit is that much longer on sockets
-	outage      = 8 * time.Second       // of discovery, at most
+	killed      = 2                       // of them: at most seven in ten
+	grace       = time.Second             // rules.stop-sending-within
+	slack       = 50 * time.Millisecond   // each time limit is that much longer on sockets
+	outage      = 7900 * time.Millisecond // of discovery: at most 8 s
 	downTime    = 600 * time.Millisecond
 	drainTime   = 5500 * time.Millisecond // the site has 3.2 to 5.7 s
 	interval    = 100 * time.Millisecond  // between two messages of a client
@@ -30,16 +29,7 @@
 	leastCalls  = 10 // to the endpoint that drains, before that, or the run has shown nothing
 )
 
-func main() {
-	broken, err := run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")
-	switch {
-	case err != nil:
-		fmt.Println("could not run:", err)
-		os.Exit(2)
-	case broken:
-		os.Exit(1)
-	}
-}
+func main() { standin.Main(run) }
 
 func run(root, dir string, trouble bool) (broken bool, err error) {
 	record, err := standin.NewRecord(dir)
--- a/review/standin/conn.go
+++ b/review/standin/conn.go
@@ -124,6 +124,9 @@
 	}
 }
 
+// Ended returns a channel that is closed once the other side has ended the connection or its sending.
+func (c *Conn) Ended() <-chan struct{} { return c.gone }
+
 // WaitGone waits until the other side has ended the connection, or for a time.
 func (c *Conn) WaitGone(limit time.Duration) bool {
 	timer := time.NewTimer(limit)
--- a/review/standin/dispatcher.go
+++ b/review/standin/dispatcher.go
@@ -49,7 +49,7 @@
 			Class("release-upload", "single_shot", 5, 2500*time.Millisecond, 28*second, 5*second),
 		},
 		"dcs": []string{"east-hall", "west-hall"}, "host-types": []string{BatchKind, SingleKind},
-		"instances": 1, "me": 0, "tick": 1000, "zone": 0, "layer": 0, "stages": []string{"partners"}, "domain-type": "deliver",
+		"instances": 1, "me": 0, "tick": 5000, "zone": 0, "layer": 0, "stages": []string{"partners"}, "domain-type": "deliver",
 		"weights": "nominal", "over-share-worth": 0.05, "membership-mode": "automatic",
 		"callers": map[string]any{"marks-retry": false},
 		"extra": map[string]any{
@@ -101,6 +101,12 @@
 	config.Listen = l.Addr().String()
 	l.Close()
 	d := &Dispatcher{Root: root, Dir: dir, Config: config, Record: record, command: command}
+	started.Lock()
+	if started.list == nil {
+		started.list = map[*Dispatcher]bool{}
+	}
+	started.list[d] = true
+	started.Unlock()
 	if err := os.Mkdir(d.StateDir(), 0o700); err != nil {
 		return nil, err
 	}
@@ -231,4 +237,7 @@
 func (d *Dispatcher) Remove() {
 	d.Kill()
 	os.RemoveAll(d.Dir)
+	started.Lock()
+	delete(started.list, d)
+	started.Unlock()
 }
--- a/review/stuck/main.go
+++ b/review/stuck/main.go
@@ -8,7 +8,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,11 +20,11 @@
 	clients     = 8    // of each dispatcher
 	rate        = 30.0 // messages a second of each dispatcher
 	calm        = 4 * time.Second
-	hang        = 23 * time.Second
-	settle      = 40 * time.Second // after the hang: all that was held has ended by then, and its id is forgotten
-	watched     = 10 * time.Second // at the end
-	leastAsked  = 100              // messages that a dispatcher got in the time watched; the rule asks for 15 in 4 s
-	oneIn       = 10               // at most one dispatcher in so many may be stuck
+	hang        = 22500 * time.Millisecond // at most 23 s
+	settle      = 40 * time.Second         // after the hang: all that was held has ended by then, and its id is forgotten
+	watched     = 10 * time.Second         // at the end
+	leastAsked  = 100                      // messages that a dispatcher got in the time watched; the rule asks for 15 in 4 s
+	oneIn       = 10                       // at most one dispatcher in so many may be stuck
 )
 
 const (
@@ -68,16 +67,7 @@
 	return class, expires, 1 + rand.IntN(2)
 }
 
-func main() {
-	broken, err := run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")
-	switch {
-	case err != nil:
-		fmt.Println("could not run:", err)
-		os.Exit(2)
-	case broken:
-		os.Exit(1)
-	}
-}
+func main() { standin.Main(run) }
 
 // node is a dispatcher and what was seen of it in the time watched.
 type node struct {
@@ -92,6 +82,7 @@
 	}
 	record.Add("TROUBLE=%v", trouble)
 	var hangs, watching atomic.Bool
+	well := make(chan struct{})
 	var nodes []*node
 	var endpoints []*standin.Endpoint
 	for k, d := range destinations {
@@ -103,8 +94,11 @@
 				}
 			}
 			if k == 0 && hangs.Load() {
-				c.Conn.WaitGone(40 * time.Second)
-				return false
+				select { // what it took meanwhile it answers once it is well
+				case <-c.Conn.Ended():
+					return false
+				case <-well:
+				}
 			}
 			time.Sleep(120*time.Millisecond + time.Duration(rand.Int64N(int64(90*time.Millisecond))))
 			return c.Reply(200, nil, nil)
@@ -127,10 +121,11 @@
 		}
 		defer agent.Close()
 		for _, e := range endpoints {
-			agent.Set(e.Member("active", 400))
+			agent.Set(e.Member("active", map[string]float64{standin.BatchKind: 400, standin.SingleKind: 250}[e.Kind]))
 		}
 		settings := standin.Settings()
 		settings["instances"], settings["me"] = dispatchers, k
+		settings["tenants"].([]any)[0].(map[string]any)["quota-per-s"] = dispatchers * rate
 		d, err := standin.NewDispatcher(root, record, standin.Config{
 			Name: fmt.Sprint("n", k), Discovery: agent.Addr(), Settings: settings, MemoryMB: 192, Sockets: 1024, DiskMB: diskMB,
 		})
@@ -176,6 +171,7 @@
 	record.Add("destination 1 hangs: %v", trouble)
 	time.Sleep(hang)
 	hangs.Store(false)
+	close(well)
 	record.Add("destination 1 is well")
 	time.Sleep(settle)
 	watching.Store(true)
--- a/review/throng/main.go
+++ b/review/throng/main.go
@@ -10,7 +10,6 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sort"
 	"strconv"
 	"sync"
@@ -40,16 +39,7 @@
 	leastServed = 60 // calls answered 200, or the run has shown nothing
 )
 
-func main() {
-	broken, err := run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0")
-	switch {
-	case err != nil:
-		fmt.Println("could not run:", err)
-		os.Exit(2)
-	case broken:
-		os.Exit(1)
-	}
-}
+func main() { standin.Main(run) }
 
 // share is what part of its calls the destination can take a time after its return.
 func share(since time.Duration) float64 {
