--- a/review/throng/main.go
+++ b/review/throng/main.go
@@ -21,16 +21,16 @@
 const (
 	dispatchers = 30
 	// What the destination can do when it is warm, in calls a second. Its limit, which the list has as its size, is lower
-	// by the site's "spare" (1.2 to 1.5), and messages come at about full load, which the limit covers 0.98 to 2.1 times.
-	capacity = 9.0
-	limit    = 7.5 // counted in windows of 2 s; what is refused does not count
-	rate     = 9.0 // messages a second
+	// by the site's "spare" (1.2 to 1.5). Full load is what the limit covers 0.98 times, and 1.15 times that comes.
+	capacity = 11.0
+	limit    = 9.1  // counted in windows of 2 s; what is refused does not count
+	rate     = 10.7 // messages a second
 
 	calm     = 15 * time.Second
 	shut     = 10 * time.Second
 	watched  = 6 * time.Second
-	told     = 0.95 // share of refusals while it is shut that tell when it opens
-	depth    = 0.5  // seconds of work that it queues
+	untold   = 20  // one of so many refusals above the limit or while it is shut tells no wait
+	depth    = 0.5 // seconds of work that it queues
 	coldFrom = 0.19
 	warmUp   = 10 * time.Second
 	tip      = 2.0
@@ -72,7 +72,8 @@
 	used      float64           // calls taken in it
 	told      map[string]string // by dispatcher: when it was first refused, for the record
 	arrivals  []arrival         // since it opened
-	served    int               // calls answered 200
+	refusals  int
+	served    int // calls answered 200
 }
 
 type arrival struct {
@@ -80,15 +81,24 @@
 	dispatcher string
 }
 
+// tells reports whether the next refusal tells a wait.
+func (d *destination) tells() bool {
+	d.refusals++
+	return d.refusals%untold != untold/2
+}
+
 // take decides what becomes of a call.
 func (d *destination) take(dispatcher string, now time.Time) (status int, wait, work time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.isShut && now.Before(d.opens) {
+		if len(d.told) == 0 {
+			d.refusals = 0
+		}
 		if d.told[dispatcher] == "" {
 			d.told[dispatcher] = now.Format(time.StampMilli)
 		}
-		if d.random.Float64() < told {
+		if d.tells() {
 			return http.StatusTooManyRequests, d.opens.Sub(now), 5 * time.Millisecond
 		}
 		return http.StatusServiceUnavailable, 0, 5 * time.Millisecond
@@ -109,7 +119,7 @@
 		d.window, d.used = now, 0
 	}
 	if d.used >= limit*span.Seconds() {
-		if d.random.Float64() < told {
+		if d.tells() {
 			return http.StatusTooManyRequests, d.window.Add(span).Sub(now), 5 * time.Millisecond
 		}
 		return http.StatusServiceUnavailable, 0, 5 * time.Millisecond
@@ -165,7 +175,7 @@
 func (c *clients) run(stop chan struct{}) {
 	defer c.client.Close()
 	gap := func() time.Duration {
-		return time.Duration(c.source.ExpFloat64() * dispatchers / rate * float64(time.Second))
+		return time.Duration((0.25 + 1.5*c.source.Float64()) * dispatchers / rate * float64(time.Second))
 	}
 	next := time.NewTimer(gap())
 	for n := 1; ; n++ {
