--- a/review/stuck/main.go
+++ b/review/stuck/main.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,7 +73,7 @@
 // node is a dispatcher and what was seen of it in the time watched.
 type node struct {
 	*standin.Dispatcher
-	asked, taken, calls atomic.Int64
+	asked, rejected, calls atomic.Int64
 }
 
 func run(root, dir string, trouble bool) (broken bool, err error) {
@@ -158,8 +159,8 @@
 					status := client.Submit(s)
 					if watching.Load() {
 						n.asked.Add(1)
-						if status == 202 {
-							n.taken.Add(1)
+						if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+							n.rejected.Add(1)
 						}
 					}
 				}
@@ -185,9 +186,9 @@
 		if n.asked.Load() < leastAsked {
 			return false, fmt.Errorf("dispatcher n%d got only %d messages", k, n.asked.Load())
 		}
-		if n.taken.Load() == 0 && n.calls.Load() == 0 {
+		if n.rejected.Load() == n.asked.Load() && n.calls.Load() == 0 {
 			stuck++
-			record.Add("STUCK: n%d took none of %d messages in the last %v and made no call, %v after all was well", k, n.asked.Load(), watched, settle)
+			record.Add("STUCK: n%d rejected all of %d messages in the last %v and made no call, %v after all was well", k, n.asked.Load(), watched, settle)
 		}
 	}
 	record.Add("%d of %d dispatchers were stuck", stuck, dispatchers)
--- a/review/throng/main.go
+++ b/review/throng/main.go
@@ -49,18 +49,26 @@
 	return coldFrom + (1-coldFrom)*since.Seconds()/warmUp.Seconds()
 }
 
-// allowed is how many calls a span may bring that begins a time after the return: N, and with the slack for chance.
-func allowed(begin time.Duration) (n, most float64) {
+// allowed is how many calls a span may bring for an N: with the slack for chance.
+func allowed(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// overSpan is the N of a whole span that begins a time after the return, by what the destination can do in the course of it.
+func overSpan(begin time.Duration) (n float64) {
 	const steps = 1000
 	for i := range steps {
 		n += tip * capacity * share(begin+span*time.Duration(2*i+1)/(2*steps)) * span.Seconds() / steps
 	}
-	if n < 30 {
-		return n, n + 3*math.Sqrt(n) + 3
-	}
-	return n, n + 2*math.Sqrt(n) + 2
+	return n
 }
 
+// atOnce is the N of a span that ends a time after the return, by what the destination can do at its end.
+func atOnce(end time.Duration) float64 { return tip * capacity * share(end) * span.Seconds() }
+
 // destination is the one destination, with one endpoint.
 type destination struct {
 	mu        sync.Mutex
@@ -205,6 +213,40 @@
 	}
 }
 
+// fullest finds the span, or what of it lies behind the return, that brought most calls for what it may bring, among those
+// with over two thirds of the calls from dispatchers that had been refused there. from is when the first span begins.
+func (d *destination) fullest(opens, from time.Time, budget func(begin time.Duration) (time.Duration, float64)) (worst float64, line string) {
+	begins := []time.Time{from}
+	for _, a := range d.arrivals {
+		if from.Before(opens) { // spans that end with a call
+			begins = append(begins, a.at.Add(time.Microsecond-span))
+		} else { // spans that begin with one
+			begins = append(begins, a.at)
+		}
+	}
+	for _, begin := range begins {
+		if begin.After(opens.Add(watched - span)) {
+			break
+		}
+		calls, had := 0, 0
+		for _, a := range d.arrivals {
+			if !a.at.Before(begin) && a.at.Before(begin.Add(span)) {
+				calls++
+				if d.told[a.dispatcher] != "" {
+					had++
+				}
+			}
+		}
+		at, n := budget(begin.Sub(opens))
+		if ratio := float64(calls) / allowed(n); ratio > worst && 3*had > 2*calls {
+			worst = ratio
+			line = fmt.Sprintf("%d calls in %v (%.3f s), %d of them from dispatchers that had been refused there; N = %.1f, at most %.1f",
+				calls, span, at.Seconds(), had, n, allowed(n))
+		}
+	}
+	return worst, line
+}
+
 func run(root, dir string, trouble bool) (broken bool, err error) {
 	record, err := standin.NewRecord(dir)
 	if err != nil {
@@ -289,35 +331,13 @@
 		return false, fmt.Errorf("only %d calls were answered 200", dest.served)
 	}
 	sort.Slice(dest.arrivals, func(i, j int) bool { return dest.arrivals[i].at.Before(dest.arrivals[j].at) })
-	worst := 0.0
-	var line string
-	for i := -1; i < len(dest.arrivals); i++ { // spans that begin at the return, or just before a call
-		begin := opens
-		if i >= 0 {
-			begin = dest.arrivals[i].at
-		}
-		if begin.After(opens.Add(watched - span)) {
-			break
-		}
-		calls, had := 0, 0
-		for _, a := range dest.arrivals {
-			if !a.at.Before(begin) && a.at.Before(begin.Add(span)) {
-				calls++
-				if dest.told[a.dispatcher] != "" {
-					had++
-				}
-			}
-		}
-		n, most := allowed(begin.Sub(opens))
-		if ratio := float64(calls) / most; ratio > worst && 3*had > 2*calls {
-			worst = ratio
-			line = fmt.Sprintf("%d calls in the %v from %.2f s after the return, %d of them from dispatchers that had been refused there; N = %.1f, at most %.1f",
-				calls, span, begin.Sub(opens).Seconds(), had, n, most)
-		}
-	}
-	broken = trouble && worst > 1
+	// The pages don't say whether N goes by what the destination can do over the whole span or at its end. The rule counts as
+	// broken only if it is in both readings.
+	spans, line := dest.fullest(opens, opens, func(begin time.Duration) (time.Duration, float64) { return begin, overSpan(begin) })
+	ends, second := dest.fullest(opens, opens.Add(-span), func(begin time.Duration) (time.Duration, float64) { return begin + span, atOnce(begin + span) })
+	broken = trouble && spans > 1 && ends > 1
 	if broken {
-		record.Add("BROKEN: %s", line)
+		record.Add("BROKEN: %s; and %s", line, second)
 	}
 	record.Add("fullest span: %s; %d of %d dispatchers had been refused", line, len(dest.told), dispatchers)
 	fmt.Printf("pushed over: %v; fullest span: %s\n", broken, line)
