Review case 1: the record also tells what each endpoint got, ran and answered

Reason: record.txt has to hold what was sent, answered and run; this case's had the clients' side and the notices alone.

Change: one line for each call, with its endpoint, its messages and how it ended. The check is the same.

--- a/review/stuck/main.go
+++ b/review/stuck/main.go
@@ -87,7 +87,8 @@
 	var nodes []*node
 	var endpoints []*standin.Endpoint
 	for k, d := range destinations {
-		e, err := standin.NewEndpoint(fmt.Sprint("s-", k+1), k+1, d.kind, func(c *standin.Call) bool {
+		id := fmt.Sprint("s-", k+1)
+		e, err := standin.NewEndpoint(id, k+1, d.kind, func(c *standin.Call) bool {
 			if watching.Load() {
 				var n int
 				if _, err := fmt.Sscanf(c.Messages[0].ID, "%04x", &n); err == nil && n < len(nodes) {
@@ -97,11 +98,13 @@
 			if k == 0 && hangs.Load() {
 				select { // what it took meanwhile it answers once it is well
 				case <-c.Conn.Ended():
+					record.AddAt(c.Last, "%s got %s, and was given up unanswered", id, c.IDs())
 					return false
 				case <-well:
 				}
 			}
 			time.Sleep(120*time.Millisecond + time.Duration(rand.Int64N(int64(90*time.Millisecond))))
+			record.AddAt(c.Last, "%s got %s, ran it and answers 200", id, c.IDs())
 			return c.Reply(200, nil, nil)
 		})
 		if err != nil {
