--- a/review/drain/main.go
+++ b/review/drain/main.go
@@ -22,9 +22,10 @@
 	slack       = 50 * time.Millisecond   // each time limit is that much longer on sockets
 	outage      = 7900 * time.Millisecond // of discovery: at most 8 s
 	downTime    = 600 * time.Millisecond
-	drainTime   = 5500 * time.Millisecond // the site has 3.2 to 5.7 s
+	drainTime   = 5600 * time.Millisecond // the site has 3.2 to 5.7 s
+	listLate    = 1700 * time.Millisecond // how long after the drain began the list tells it: the site has 1.6 to 4 s
 	interval    = 100 * time.Millisecond  // between two messages of a client
-	beginning   = 2 * time.Second         // before the kill and the change of the list
+	beginning   = 2500 * time.Millisecond // before the drain begins
 	end         = 14 * time.Second
 	leastCalls  = 10 // to the endpoint that drains, before that, or the run has shown nothing
 )
@@ -115,22 +116,24 @@
 		})
 	}
 	time.Sleep(beginning)
-	told := make([]time.Time, dispatchers)
+	drains.Store(true)
+	record.Add("s-1 begins to drain")
+	time.AfterFunc(drainTime, func() {
+		record.Add("s-1 has drained and ends")
+		endpoints[0].Close()
+	})
+	time.Sleep(listLate - downTime/3)
 	if trouble {
 		for _, d := range list[:killed] {
 			d.Kill()
 		}
-		time.Sleep(downTime / 3)
 	}
-	drains.Store(true)
+	time.Sleep(downTime / 3)
+	told := make([]time.Time, dispatchers)
 	for k, a := range agents {
 		a.Set(endpoints[6].Member("active", 60), endpoints[0].Member("leaving", 60))
 		told[k] = time.Now()
 	}
-	time.AfterFunc(drainTime, func() {
-		record.Add("s-1 has drained and ends")
-		endpoints[0].Close()
-	})
 	time.Sleep(downTime / 3)
 	if trouble {
 		for _, a := range agents {
