--- a/review/standin/dispatcher.go
+++ b/review/standin/dispatcher.go
@@ -58,7 +58,7 @@
 		"limits": map[string]any{
 			"conn-idle": 5_000_000, "connect-timeout": 1_500_000, "cpu-us-per-s": 110_000, "max-open": 313,
 			"max-retry-after": 2_000_000, "may-cancel": true, "may-duplicate": false, "most-tries": 6,
-			"peer-messages": false, "probes": false, "retry-after": true, "streams-per-conn": 1,
+			"peer-messages": false, "probes": true, "retry-after": true, "streams-per-conn": 1,
 		},
 		"report": map[string]any{"names": []string{}, "via": "none"},
 		"rules": map[string]any{
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -115,6 +115,11 @@
 				text, _ := base64.StdEncoding.DecodeString(m.Body)
 				call.Messages = append(call.Messages, Message{m.ID, m.Key, text})
 			}
+		case "/-/healthy": // a probe, which the settings allow; nothing is held against it
+			if call.Reply(http.StatusOK, nil, nil); call.Close {
+				return
+			}
+			continue
 		default:
 			call.Reply(http.StatusNotFound, nil, nil)
 			return
