A told wait earns no tokens for the ramp after it, so a fleet no longer calls at its end

Cause: startRamp dated the ramp's bucket at the moment at which the wait was told, and pace.Bucket.SetRate adds at once what comes until a start that lies ahead. That credit is meant for limits, whose owner waits. A ramp earned 10 s at its initial rate on top of its drawn level, so that each dispatcher had a whole token at the moment that all of them knew. Change: the bucket is dated at the return, with its drawn level. Why it works: what each dispatcher may send after the opening is the drawn level and the ramp's rate from then on, as after any other outage.

--- a/control/control.go
+++ b/control/control.go
@@ -813,9 +813,10 @@
 }
 
 // startRamp marks an endpoint as cold and starts its ramp, as if it had returned at the time given, which may
-// lie ahead.
+// lie ahead. The random level is the one at the return. Tokens that came before it would let all dispatchers
+// that were told the same time call at that time.
 func (d *Dispatcher) startRamp(ep *endpoint, returnAt Time) {
-	ep.rampStart, ep.ramp = returnAt, pace.NewBucket(d.now, d.random())
+	ep.rampStart, ep.ramp = returnAt, pace.NewBucket(max(d.now, returnAt), d.random())
 	if returnAt <= d.now {
 		d.note(ep.destination, "is back, cold: its calls rise over the warm-up")
 	}
--- /dev/null
+++ b/control/returning_fleet_test.go
@@ -0,0 +1,250 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// returningDestination is a destination that has an outage and is cold afterwards. It keeps the
+// times of all calls that reach it after the outage.
+type returningDestination struct {
+	capacity  float64 // calls a second when it is warm
+	settings  *Settings
+	downSince Time
+	returnsAt Time
+	busyUntil Time // when it will have processed the calls that it accepted
+	// outage returns the outcome of a call during the outage. A nil function leaves calls unanswered.
+	outage   func(d *returningDestination, now Time, rng *rand.Rand) Event
+	calls    []returnedCall
+	informed map[*fleetMember]bool // dispatchers that called it during the outage
+}
+
+// returnedCall is a call that reached the destination after its return.
+type returnedCall struct {
+	at       Time
+	informed bool // by a dispatcher that had called it during the outage
+}
+
+// share returns the part of its capacity that it has a time after its return.
+func (d *returningDestination) share(since Time) float64 {
+	warmth := float64(since) / float64(d.settings.WarmUp)
+	return min(1, d.settings.ColdFrom+(1-d.settings.ColdFrom)*warmth)
+}
+
+// handle returns the outcome of a call and how long it takes; ok is false if there is no response.
+func (d *returningDestination) handle(m *fleetMember, now Time, rng *rand.Rand) (outcome Event, takes Time, ok bool) {
+	const maxQueue = second / 2
+	if now >= d.downSince && now < d.returnsAt {
+		d.informed[m] = true
+		if d.outage == nil {
+			return Event{}, 0, false
+		}
+		return d.outage(d, now, rng), 5 * Millisecond, true
+	}
+	rate := d.capacity
+	if now >= d.returnsAt {
+		d.calls = append(d.calls, returnedCall{now, d.informed[m]})
+		rate *= d.share(now - d.returnsAt)
+	}
+	d.busyUntil = max(d.busyUntil, now)
+	queue := d.busyUntil - now
+	if queue > maxQueue {
+		return Event{Result: Refused}, 5 * Millisecond, true
+	}
+	d.busyUntil += Time(float64(second) / rate)
+	takes = queue + 120*Millisecond + Time(rng.Int64N(int64(90*Millisecond)))
+	return Event{Result: OK, Closed: true, Latency: takes}, takes, true
+}
+
+// callBudget returns how many calls a destination in slow start accepts in a time in which it can process n calls
+// times the permitted multiple.
+func callBudget(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// worstLoad returns the largest number of calls within OverloadFor over the budget of the time at which that ends, and
+// a description of that time.
+func (d *returningDestination) worstLoad() (worst float64, description string) {
+	first, informed := 0, 0
+	for i, last := range d.calls {
+		at := last.at
+		if last.informed {
+			informed++
+		}
+		for d.calls[first].at <= at-d.settings.OverloadFor {
+			if d.calls[first].informed {
+				informed--
+			}
+			first++
+		}
+		count := i + 1 - first
+		if 3*informed <= 2*count {
+			continue
+		}
+		n := d.settings.TipMultiple * d.capacity * d.share(at-d.returnsAt) * d.settings.OverloadFor.Seconds()
+		if load := float64(count) / callBudget(n); load > worst {
+			worst = load
+			description = fmt.Sprintf("%d calls until %.2f s after the return, at most %.1f", count,
+				(at - d.returnsAt).Seconds(), callBudget(n))
+		}
+	}
+	return worst, description
+}
+
+// fleetMember is a dispatcher of a fleet, with its clients and the outcomes that are on their way to it.
+type fleetMember struct {
+	*harness
+	nextArrival Time
+	tries       map[MessageID]int
+	submissions map[MessageID]int // how often the client of a message had submitted it before
+	due         map[Time][]Event
+}
+
+// returningFleet plays dispatchers that share a destination which returns from an outage.
+type returningFleet struct {
+	size        int
+	arrivalRate float64 // messages a second, over all dispatchers
+	slots       int
+	batch       int
+	endpoints   int
+	down        Time
+	outage      func(d *returningDestination, now Time, rng *rand.Rand) Event
+	seed        uint64
+}
+
+const (
+	fleetStep        = 10 * Millisecond
+	fleetWarmTraffic = 20 * second // traffic before the outage
+	clientRetries    = 3
+)
+
+func (f *returningFleet) fleetSettings() Settings {
+	set := testSettings()
+	set.Instances, set.Slots, set.ColdFrom = f.size, f.slots, 0.19
+	set.MaxOpen = max(8, int(8*f.arrivalRate/float64(f.size)))
+	set.Kinds = []Kind{{Name: "returning", Batch: f.batch}}
+	return set
+}
+
+func (f *returningFleet) entries() (entries []Entry) {
+	for i := range f.endpoints {
+		entries = append(entries, listEntry(1, i, 0))
+	}
+	return entries
+}
+
+// play returns the destination after the outage and the time in which it is cold.
+func (f *returningFleet) play(t *testing.T) *returningDestination {
+	rng := rand.New(rand.NewPCG(f.seed, 1))
+	set := f.fleetSettings()
+	members := make([]*fleetMember, f.size)
+	gap := func() Time {
+		return Time(rng.ExpFloat64() * float64(f.size) / f.arrivalRate * float64(second))
+	}
+	for i := range members {
+		m := &fleetMember{harness: newHarness(t, set, f.entries()...), tries: map[MessageID]int{},
+			submissions: map[MessageID]int{}, due: map[Time][]Event{}}
+		m.d.randomState = rng.Uint64() | 1
+		m.nextArrival = m.now + gap()
+		members[i] = m
+	}
+	start := members[0].now
+	dest := &returningDestination{capacity: f.capacity(), settings: &set, informed: map[*fleetMember]bool{}, outage: f.outage,
+		downSince: start + fleetWarmTraffic, returnsAt: start + fleetWarmTraffic + f.down}
+	for now := start + fleetStep; now < dest.returnsAt+set.WarmUp; now += fleetStep {
+		for _, m := range members {
+			events := m.due[now]
+			delete(m.due, now)
+			for m.nextArrival <= now {
+				class := guardedClass
+				if rng.Float64() < 0.5 {
+					class = singleShotClass
+				}
+				events = append(events, m.arrival(class, 1))
+				m.nextArrival += gap()
+			}
+			m.handleActions(m.step(now-m.now, events...), dest, rng)
+		}
+	}
+	return dest
+}
+
+// capacity returns a capacity that the traffic uses to 97 percent.
+func (f *returningFleet) capacity() float64 { return f.arrivalRate / 0.97 }
+
+// handleActions carries out the actions of a dispatcher: calls reach the destination, and clients of refused messages
+// submit them again.
+func (m *fleetMember) handleActions(acts []Action, dest *returningDestination, rng *rand.Rand) {
+	after := func(span Time, e Event) {
+		at := m.now + max(span/fleetStep, 1)*fleetStep
+		m.due[at] = append(m.due[at], e)
+	}
+	var outcome Event
+	var takes Time
+	var answered bool
+	for _, a := range acts {
+		switch a.Kind {
+		case Send:
+			if !a.SameCall {
+				outcome, takes, answered = dest.handle(m, m.now, rng)
+			}
+			if e := outcome; answered {
+				e.Kind, e.Message, e.Attempt = Outcome, a.Message, m.tries[a.Message]
+				after(takes, e)
+			}
+			m.tries[a.Message]++
+		case Cancel:
+			after(fleetStep, outcomeOf(a.Message, a.Attempt, Cancelled))
+		case Refuse:
+			if tries := m.submissions[a.Message]; tries < clientRetries {
+				e := m.arrival(guardedClass, 1)
+				m.submissions[e.Message] = tries + 1
+				after(570*Millisecond+Time(rng.Int64N(int64(830*Millisecond))), e)
+			}
+		}
+	}
+}
+
+// shutFor returns an outage whose refusals tell when it ends, but for a share of them, which tell no wait.
+func shutFor(untold float64) func(*returningDestination, Time, *rand.Rand) Event {
+	return func(d *returningDestination, now Time, rng *rand.Rand) Event {
+		e := Event{Result: Refused}
+		if rng.Float64() >= untold {
+			e.RetryAfter = d.returnsAt - now
+		}
+		return e
+	}
+}
+
+// checkLoad plays a fleet with several seeds and checks that no more calls come than the destination accepts.
+func (f *returningFleet) checkLoad(t *testing.T, name string) {
+	t.Helper()
+	const seeds = 6
+	for f.seed = range uint64(seeds) {
+		dest := f.play(t)
+		if load, description := dest.worstLoad(); load > 1 {
+			t.Errorf("%s, seed %d: %s", name, f.seed, description)
+		}
+		if len(dest.calls) < f.size/2 {
+			t.Errorf("%s, seed %d: only %d calls while it was cold", name, f.seed, len(dest.calls))
+		}
+	}
+}
+
+// Dispatchers that were told the same wait called at the moment at which it ended, one call each: their ramps had
+// earned tokens all through the wait.
+func TestFleetSpreadsItsCallsAfterAToldWait(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ size, endpoints int }{{30, 1}, {100, 1}, {30, 2}} {
+		for _, untold := range []float64{0, 0.05, 0.5} {
+			f := &returningFleet{size: c.size, arrivalRate: 0.36 * float64(c.size), slots: 2, batch: 10, endpoints: c.endpoints,
+				down: 10 * second, outage: shutFor(untold)}
+			f.checkLoad(t, fmt.Sprintf("%+v, %v of the refusals without a wait", c, untold))
+		}
+	}
+}
