Ramps of a shut destination start when it opens, whatever happens meanwhile

An endpoint that joined started its ramp at once, so that it was nearly warm at the opening; one that replaced the last endpoint had no ramp at all, as a refusal is no failure (handleJoin goes by failures); and a late response to an earlier call started all ramps anew at its own time (recordSuccess: refused for longer than overload-for). Change: a limit keeps when it opens (rateLimit.opensAt). No ramp of its endpoints starts before that; an endpoint that joins until one warm-up after it starts with it; the destination is not forgotten before. Tests: TestEndpointsThatJoinAShutDestinationReturnWithIt, TestALateResponseWhileShutIsNoReturn; both failed before.

--- a/control/control.go
+++ b/control/control.go
@@ -603,7 +603,8 @@
 		current.endpoint.limit.waitUntil = max(current.endpoint.limit.waitUntil,
 			d.now+event.RetryAfter+d.settings.Tick)
 		if event.RetryAfter > d.settings.OverloadFor { // no rate limit: it is shut, and cold afterwards
-			d.startRamps(current.endpoint, current.endpoint.limit.toldWaitUntil)
+			current.endpoint.limit.opensAt = current.endpoint.limit.toldWaitUntil
+			d.startRamps(current.endpoint, current.endpoint.limit.opensAt)
 		}
 	}
 	if !current.learned && event.Result != Unsent {
@@ -813,9 +814,10 @@
 }
 
 // startRamp marks an endpoint as cold and starts its ramp, as if it had returned at the time given, which may
-// lie ahead. The random level is the one at the return. Tokens that came before it would let all dispatchers
-// that were told the same time call at that time.
+// lie ahead, but not before its destination opens if that is shut. The random level is the one at the return.
+// Tokens that came before it would let all dispatchers that were told the same time call at that time.
 func (d *Dispatcher) startRamp(ep *endpoint, returnAt Time) {
+	returnAt = max(returnAt, ep.limit.opensAt)
 	ep.rampStart, ep.ramp = returnAt, pace.NewBucket(max(d.now, returnAt), d.random())
 	if returnAt <= d.now {
 		d.note(ep.destination, "is back, cold: its calls rise over the warm-up")
@@ -1155,8 +1157,11 @@
 func (d *Dispatcher) cold(ep *endpoint, at Time) bool { return ep.rampStart != 0 && at < d.warmAt(ep) }
 
 // warmAt returns the time from which on a cold endpoint is certain to be warm.
-func (d *Dispatcher) warmAt(ep *endpoint) Time {
-	return ep.rampStart.After(Time(rampWarmUps * float64(d.settings.WarmUp)))
+func (d *Dispatcher) warmAt(ep *endpoint) Time { return d.warmAfter(ep.rampStart) }
+
+// warmAfter returns the time from which on an endpoint that returned at the time given is certain to be warm.
+func (d *Dispatcher) warmAfter(returnAt Time) Time {
+	return returnAt.After(Time(rampWarmUps * float64(d.settings.WarmUp)))
 }
 
 // initWindow gives a destination that has completed no call yet its first window: a fair share of the slots,
@@ -1171,9 +1176,12 @@
 func (d *Dispatcher) fairShare() int { return max(1, d.settings.Slots/len(d.destinations)) }
 
 // handleJoin handles an endpoint that is new to the list. If all others of its destination are suspect or
-// cold, it starts cold as well, so that it does not get the whole backlog at once.
+// cold, or left while the destination was shut, it starts cold as well, so that it does not get the whole
+// backlog at once.
 func (d *Dispatcher) handleJoin(dest *destination, ep *endpoint) {
 	switch {
+	case d.coldFromShut(ep.limit):
+		d.startRamp(ep, ep.limit.opensAt)
 	case dest.limit.failureStreak == 0 && !slices.ContainsFunc(dest.endpoints, d.unhealthy) ||
 		slices.ContainsFunc(dest.endpoints, d.healthy):
 	case !dest.outageRemembered && dest.readyCount() == 0:
@@ -1183,6 +1191,11 @@
 	}
 }
 
+// coldFromShut reports whether the endpoints of a limit are shut, or were not long ago and may still be cold.
+func (d *Dispatcher) coldFromShut(limit *rateLimit) bool {
+	return limit.opensAt > 0 && d.now < d.warmAfter(limit.opensAt)
+}
+
 // handleLastLeft decides whether a destination is in an outage when its last endpoint has left. It is if an
 // endpoint has been failing for longer than a list may be late, or was cold. Otherwise the endpoint failed
 // because it was leaving: its replacements are healthy and have a backlog to send. Risk: an outage that
--- a/control/returning_fleet_test.go
+++ b/control/returning_fleet_test.go
@@ -114,6 +114,7 @@
 	endpoints   int
 	down        Time
 	outage      func(d *returningDestination, now Time, rng *rand.Rand) Event
+	lists       []Event // lists that all dispatchers get in the middle of the outage, a second apart
 	seed        uint64
 }
 
@@ -156,10 +157,17 @@
 	start := members[0].now
 	dest := &returningDestination{capacity: f.capacity(), settings: &set, informed: map[*fleetMember]bool{}, outage: f.outage,
 		downSince: start + fleetWarmTraffic, returnsAt: start + fleetWarmTraffic + f.down}
+	lists := map[Time]Event{}
+	for i, list := range f.lists {
+		lists[dest.downSince+f.down/2+Time(i)*second] = list
+	}
 	for now := start + fleetStep; now < dest.returnsAt+set.WarmUp; now += fleetStep {
 		for _, m := range members {
 			events := m.due[now]
 			delete(m.due, now)
+			if list, ok := lists[now]; ok {
+				events = append(events, list)
+			}
 			for m.nextArrival <= now {
 				class := guardedClass
 				if rng.Float64() < 0.5 {
@@ -248,3 +256,23 @@
 		}
 	}
 }
+
+// Endpoints that join or replace others while their destination is shut return with it. They started warm, or with
+// ramps that had risen through the rest of the wait, and got a call of each dispatcher when the destination opened.
+func TestEndpointsThatJoinAShutDestinationReturnWithIt(t *testing.T) {
+	t.Parallel()
+	joining, leaving := listEntry(1, 5, 0), listEntry(1, 0, 0)
+	leaving.Health = Gone
+	for name, f := range map[string]returningFleet{
+		"join":        {lists: []Event{{Kind: List, Entries: []Entry{joining}}}},
+		"replacement": {lists: []Event{{Kind: List, Entries: []Entry{joining, leaving}}}},
+		"replacement in a complete list": {
+			lists: []Event{{Kind: List, ListKind: ListFull, Entries: []Entry{joining}}}},
+		"replacement after a second without endpoints": {
+			lists: []Event{{Kind: List, Entries: []Entry{leaving}}, {Kind: List, Entries: []Entry{joining}}}},
+	} {
+		f.size, f.arrivalRate, f.slots, f.batch, f.endpoints = 60, 0.36*60, 2, 10, 1
+		f.down, f.outage = 10*second, shutFor(0)
+		f.checkLoad(t, name)
+	}
+}
--- a/control/shut_test.go
+++ b/control/shut_test.go
@@ -82,6 +82,27 @@
 	}
 }
 
+// A late response to a call from before a destination was shut is no return. It started the ramp in the middle of the
+// told wait, so that the destination counted as nearly warm when it opened.
+func TestALateResponseWhileShutIsNoReturn(t *testing.T) {
+	t.Parallel()
+	r := newTraffic(t, 5)
+	r.play(20 * second)
+	arrival := r.arrival(freeClass, 1)
+	r.wantSent(r.step(0, arrival), arrival.Message)
+	opensAt := r.now + 12*second
+	r.answer = func(id MessageID, attempt int) Event { return refusal(id, attempt, opensAt-r.now) }
+	r.play(4 * second)
+	r.step(20*Millisecond, outcomeOf(arrival.Message, 0, OK))
+	for r.now < opensAt {
+		r.play(20 * Millisecond)
+	}
+	r.answer = acceptCall
+	if sends := r.play(2 * second); maxInWindow(sends, 20) > 5 {
+		t.Errorf("%d calls in its first two seconds, at most 5 are right: %v", maxInWindow(sends, 20), sends)
+	}
+}
+
 // A wait as long as rate limits tell is no outage, so no ramp follows. Messages that arrive during the wait must not raise
 // the allowed share.
 func TestRateLimitWaitStartsNoRampAndRaisesNoShare(t *testing.T) {
--- a/control/state.go
+++ b/control/state.go
@@ -127,6 +127,7 @@
 	lastOKAt            Time        // time of the last success
 	refusedSince        Time        // time of the first refusal since the last success, 0 if there was none
 	toldWaitUntil       Time        // end of the told wait, without backoffs
+	opensAt             Time        // end of the last told wait that showed the destination to be shut, 0 if there was none
 	randomShare         float64     // share of calls that are refused at random, whatever the rate
 	toleratedDeviations float64     // standard deviations above that share that still count as random
 	cutRefusedShare     float64     // share of refused calls that led to the last cut
@@ -373,7 +374,8 @@
 		switch {
 		case len(dest.endpoints) > 0:
 			dest.cleanupPending = false
-		case dest.openMessages == 0 && dest.callsOut == 0 && dest.limit.waitUntil <= d.now && mayRemove(2):
+		case dest.openMessages == 0 && dest.callsOut == 0 && dest.limit.waitUntil <= d.now &&
+			!d.coldFromShut(dest.limit) && mayRemove(2):
 			dest.cleanupPending = false
 			delete(d.destinationByNumber, dest.number)
 			last := len(d.destinations) - 1
