Ramps after a told wait go by what was served before it, not by the crowd during it

Cause, found while the load after was compared by kind of outage: after failures a ramp is sized by what the destination served before them (rateBeforeOutage), as docs/design/paces.md says of all returns; a told wait kept no such rate, so its ramps were sized by the demand of the wait. Change: keepServedRate, also called when a told wait shows the destination to be shut. Not mended: refusals that tell no wait.

--- a/control/control.go
+++ b/control/control.go
@@ -604,6 +604,7 @@
 			d.now+event.RetryAfter+d.settings.Tick)
 		if event.RetryAfter > d.settings.OverloadFor { // no rate limit: it is shut, and cold afterwards
 			current.endpoint.limit.opensAt = current.endpoint.limit.toldWaitUntil
+			d.keepServedRate(current.endpoint.destination)
 			d.startRamps(current.endpoint, current.endpoint.limit.opensAt)
 		}
 	}
@@ -824,6 +825,14 @@
 	}
 }
 
+// keepServedRate keeps the rate that a destination served before an outage, by which the ramps after it are
+// sized. Rates measured while an endpoint is unhealthy are lower and don't count.
+func (d *Dispatcher) keepServedRate(dest *destination) {
+	if !slices.ContainsFunc(dest.endpoints, d.unhealthy) {
+		dest.rateBeforeOutage = dest.served.rate(dest.served.at)
+	}
+}
+
 // recordFailure handles a call that could not connect or got no response; proven means that it can't have
 // run. Only a call sent after the last failure was known is new evidence. One failure makes the endpoint
 // suspect, so that it gets single trials only: a dispatcher with little traffic may see no second one. It
@@ -839,10 +848,7 @@
 	if ep.suspect {
 		return
 	}
-	// Rates measured later are lower.
-	if dest := ep.destination; !slices.ContainsFunc(dest.endpoints, d.unhealthy) {
-		dest.rateBeforeOutage = dest.served.rate(dest.served.at)
-	}
+	d.keepServedRate(ep.destination)
 	ep.suspect, ep.downSince, ep.ramp = true, d.now, pace.NewBucket(d.now, d.random())
 	if ep.nextTrialAt, ep.trialInterval = d.now, d.responseTimeout(ep.destination); ep.provenDown {
 		ep.nextTrialAt += Time(d.random() * float64(ep.trialInterval))
--- a/control/returning_fleet_test.go
+++ b/control/returning_fleet_test.go
@@ -114,6 +114,7 @@
 	endpoints   int
 	down        Time
 	outage      func(d *returningDestination, now Time, rng *rand.Rand) Event
+	crowd       float64 // factor on the arrivals during the outage, 0 for none
 	lists       []Event // lists that all dispatchers get in the middle of the outage, a second apart
 	seed        uint64
 }
@@ -174,7 +175,11 @@
 					class = singleShotClass
 				}
 				events = append(events, m.arrival(class, 1))
-				m.nextArrival += gap()
+				if next := gap(); f.crowd > 0 && now >= dest.downSince && now < dest.returnsAt {
+					m.nextArrival += Time(float64(next) / f.crowd)
+				} else {
+					m.nextArrival += next
+				}
 			}
 			m.handleActions(m.step(now-m.now, events...), dest, rng)
 		}
@@ -276,3 +281,32 @@
 		f.checkLoad(t, name)
 	}
 }
+
+// A crowd that comes during an outage does not raise the rate of the ramps. Those of a destination that was shut went by
+// the demand of that time instead of what the destination had served before.
+func TestACrowdDoesNotRaiseTheRampAfterAToldWait(t *testing.T) {
+	t.Parallel()
+	checkCrowds(t, 0, 0.5)
+}
+
+// The same where no refusal tells a wait.
+func TestACrowdDoesNotRaiseTheRampAfterRefusalsWithoutWaits(t *testing.T) {
+	t.Parallel()
+	checkCrowds(t, 1)
+}
+
+// checkCrowds plays fleets whose traffic grows while their destination is shut. Each given share of the refusals tells no
+// wait.
+func checkCrowds(t *testing.T, untoldShares ...float64) {
+	t.Helper()
+	for _, c := range []struct {
+		size      int
+		perMember float64
+	}{{3, 20}, {30, 0.36}, {30, 1}, {100, 0.36}} {
+		for _, untold := range untoldShares {
+			f := &returningFleet{size: c.size, arrivalRate: c.perMember * float64(c.size), slots: max(2, int(3*c.perMember)), batch: 10,
+				endpoints: 1, down: 20 * second, crowd: 2.5, outage: shutFor(untold)}
+			f.checkLoad(t, fmt.Sprintf("%+v, %v of the refusals without a wait", c, untold))
+		}
+	}
+}
