Where lists are pushed, a new process makes no call before the agent has sent a list

Cause: after firstListTimeout (1 s) without a list the dispatcher went by the list cached in its configuration, which is from before the drain. What the agent has counts as told from the first moment of a new process, whether or not it answers, so nothing in a cached list is known to be active. The comment of awaitFirstList said as much. Ruled out: keeping what was heard in the lasting folder. Change: engine.Settings.HoldUntilListed; endpoints of a cached list count as draining, so their destinations are known, messages are accepted and held, and no endpoint is called until the source has sent a list. It is on unless the settings say that discovery has to be asked (membership-mode subscribe), where nothing counts as told that was not answered. A list of a pushing agent, which answers at once or is silent, is waited for 2 s in place of 6 before it is asked for again. The log says that no list has come, and when it comes. Tests: TestNoCallsByTheCachedListWhileTheAgentIsSilent (real program; 1 and 2 calls to the draining endpoint before), and the engine's script cached-list-holds (called at once before). Changed: TestStartsWithCachedListWithoutDiscovery asked for the opposite of the rule; it now plays the mode in which the cached list counts, with the same checks. The simulated mail tests have no discovery at all and say that it has to be asked.

--- a/engine/member.go
+++ b/engine/member.go
@@ -167,7 +167,7 @@
 			e.movedEndpoints[endpointKey{old.id, old.destination}] = old
 			touch(old)
 		}
-		if ep := e.updateMember(l.Source, n); ep != nil {
+		if ep := e.updateMember(l.Source, n, e.claimedPhase(l.Members, n)); ep != nil {
 			touch(ep)
 		}
 	}
@@ -306,8 +306,18 @@
 	return ep.lastEntry
 }
 
-// updateMember processes one member of a report. It returns nil if there is nothing to do.
-func (e *Engine) updateMember(source string, n *Member) *endpoint {
+// claimedPhase returns the phase that a report claims for one of its members. The endpoints of a cached list may have
+// begun to drain since.
+func (e *Engine) claimedPhase(l *Members, n *Member) Phase {
+	if l.Cached && e.settings.HoldUntilListed && n.Phase == Active {
+		return Leaving
+	}
+	return n.Phase
+}
+
+// updateMember processes one member of a report, with the phase that the report claims for it. It returns nil if there
+// is nothing to do.
+func (e *Engine) updateMember(source string, n *Member, phase Phase) *endpoint {
 	ep := e.endpointByID[n.ID]
 	if ep == nil && n.Phase != Gone {
 		if ep = e.movedEndpoints[endpointKey{n.ID, n.Destination}]; ep != nil { // it is back at its old destination: its waits and its ramp stay in force
@@ -334,9 +344,9 @@
 	}
 	e.nameDestination(n.Destination)
 	if c := ep.claimOf(source); c != nil {
-		c.phase = n.Phase
+		c.phase = phase
 	} else {
-		ep.claims = append(ep.claims, claim{source, n.Phase})
+		ep.claims = append(ep.claims, claim{source, phase})
 	}
 	if n.Addr != "" && n.Addr != ep.addr {
 		if ep.addr != "" {
--- a/engine/script_test.go
+++ b/engine/script_test.go
@@ -229,6 +229,8 @@
 			s.KindBytes = []int{n}
 		case "stored":
 			s.HasStore = n == 1
+		case "hold-until-listed":
+			s.HoldUntilListed = n == 1
 		case "apart":
 			s.Control.Kinds[1].RoutesApart = n == 1
 		case "max-endpoints":
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -19,6 +19,10 @@
 	// for callers who wait for each result. Only messages that come in one round can then share a call.
 	Prompt bool
 
+	// HoldUntilListed gives endpoints no calls while only a cached list names them. It is for sources whose changes count
+	// as known to this process from its start on, whether or not it has reached them yet.
+	HoldUntilListed bool
+
 	MaxBytes      int    // of the bodies of open messages
 	MaxIDs        int    // messages whose clients have not been notified yet, and remembered ids of ended messages
 	MaxEndpoints  int    // that sources may report, including those gone recently
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -167,10 +167,14 @@
 	return s
 }
 
+// listsArePushed reports whether discovery pushes changes of the list to the agent on this machine. What the agent has
+// counts as known here from the start of the process on, also while the agent is silent.
+func (c *Config) listsArePushed() bool { return !wire.Subscribes(c.flatSettings) }
+
 // engineSettings returns the settings of the engine.
 func (c *Config) engineSettings() engine.Settings {
 	settings := engine.Settings{
-		Control: c.Settings, Seed: c.Seed, HasStore: true, MaxBytes: int(c.Memory / bodyMemoryDivisor), MaxIDs: int(c.Memory / memoryPerID),
+		Control: c.Settings, Seed: c.Seed, HasStore: true, HoldUntilListed: c.listsArePushed(), MaxBytes: int(c.Memory / bodyMemoryDivisor), MaxIDs: int(c.Memory / memoryPerID),
 	}
 	if c.Mail != nil {
 		settings.KindBytes, settings.ClassRemember = c.Mail.maxCallBytes, c.Mail.rememberTimes
--- a/internal/node/known_test.go
+++ b/internal/node/known_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
-	"curlewmux/engine"
+	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"curlewmux/engine"
 )
 
 // An id whose notice is still pending is known after a restart. Submitted again it is the same message, which has been
@@ -48,3 +52,36 @@
 	w.endpoint("new", 1, "hooks", respond(200))
 	w.awaitEmpty()
 }
+
+// A process that starts while the agent is silent calls no endpoint by its cached list, in which an endpoint that drains is
+// still active. It did so from one second after its start on. What it holds goes out with the agent's first list.
+func TestNoCallsByTheCachedListWhileTheAgentIsSilent(t *testing.T) {
+	t.Parallel()
+	w := newTestEnv(t)
+	cmd := w.spawn()
+	w.submit("unsafe", "restored", 3) // no endpoint serves the destination yet
+	w.kill(cmd)
+	var drained atomic.Int32
+	draining := w.endpoint("e", 3, "hooks", func(rw http.ResponseWriter, _ *http.Request) {
+		drained.Add(1)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	})
+	w.cacheList()
+	draining.Phase = "leaving"
+	w.setEntry(draining)
+	w.update(func() { w.blockWatch = true })
+	w.spawn()
+	w.submit("free", "new", 3)
+	time.Sleep(500 * time.Millisecond) // a call would come within a few ticks
+	if n := drained.Load(); n > 0 {
+		t.Errorf("%d calls to an endpoint that drains, by the cached list", n)
+	}
+	w.endpoint("f", 3, "hooks", respond(200))
+	w.update(func() { w.blockWatch = false })
+	w.awaitCalls("restored", 1)
+	w.awaitCalls("new", 1)
+	w.awaitEmpty()
+	if n := drained.Load(); n > 0 {
+		t.Errorf("%d calls to an endpoint that drains", n)
+	}
+}
--- a/internal/node/mail_sim_test.go
+++ b/internal/node/mail_sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"flag"
 	"fmt"
 	"io"
@@ -91,6 +92,8 @@
 		{"id":"senders","host_port":"senders:24","locality":"west","flavor":"archives","cell":2,"phase":"active","size":1000}]}`
 	text := fmt.Appendf(nil, `{"name":"n0","listen":":9000","discovery":"archive:9","seed":"8c1f30d27a5be964","known":%s,
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":4},"settings":%s}`, known, fmt.Sprintf(settingsJSON, 60_000_000, 50))
+	// No discovery runs here. The cached list counts without it where discovery has to be asked.
+	text = bytes.Replace(text, []byte(`"tick":5000`), []byte(`"tick":5000,"membership-mode":"subscribe"`), 1)
 	cfg, err := ParseConfig(text, func(name string) string { return map[string]string{"EDGE_STATE": "folder"}[name] })
 	must(s.t, err)
 	w := mailEnv{smtp: "mux:9025", lmtp: "mux:9024"}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,8 @@
 }
 
 const (
-	firstListTimeout    = time.Second            // wait for discovery's first list before the cached one is used
+	firstListTimeout    = time.Second            // wait for discovery's first list before clients are accepted without it
+	pushedListTimeout   = 2 * time.Second        // wait for a list of an agent on this machine, which answers at once unless it is silent
 	typicalMessageBytes = 256                    // size in the journal that the warning about limits.disk_mb assumes
 	abortTimeout        = 200 * time.Millisecond // wait for aborted calls to end
 )
@@ -49,6 +50,7 @@
 	log  *slog.Logger
 
 	requests host.Inbox // *Config (reload), stopRequest, serveEnded, listReceived
+	unlisted bool       // ready, but no list has come from discovery yet
 
 	clock       engine.Clock
 	driver      *driver.Driver
@@ -182,6 +184,9 @@
 	})
 	n.watch = partnerlist.NewWatch(n.host, cfg.Discovery, n.log)
 	n.watch.Random = rand.New(rand.NewPCG(cfg.Seed, 1)).Float64
+	if cfg.listsArePushed() {
+		n.watch.FullListTimeout = pushedListTimeout
+	}
 	n.notices = partnerlist.NewNotices(n.host, cfg.Discovery, n.log)
 	var intake engine.Intake = n.driver
 	if wrap := cfg.Interceptors.Intake; wrap != nil {
@@ -250,12 +255,15 @@
 }
 
 // awaitFirstList waits for the first list from discovery, for firstListTimeout at most. Without that list the dispatcher
-// starts from the cached one, which may be old: endpoints that have begun to drain since would get new calls.
+// starts from the cached one, which may be old: endpoints may have begun to drain since. Where lists are pushed, it
+// therefore accepts messages but makes no calls before the first list (engine.Settings.HoldUntilListed).
 func (n *Node) awaitFirstList() error {
 	until := n.host.Now().Add(firstListTimeout)
 	for {
 		list := n.requests.Take(nil, until)
 		if len(list) == 0 {
+			n.unlisted = true
+			n.log.Warn("discovery has sent no list since the start", "makes_calls", !n.cfg.listsArePushed())
 			return nil
 		}
 		for i, v := range list {
@@ -340,6 +348,11 @@
 				if v.err != nil {
 					return v.err, false
 				}
+			case listReceived:
+				if n.unlisted {
+					n.unlisted = false
+					n.log.Info("discovery has sent the first list")
+				}
 			case stopRequest:
 				if until.IsZero() {
 					n.requeue(list[i+1:])
--- a/internal/sim/agent.go
+++ b/internal/sim/agent.go
@@ -311,6 +311,15 @@
 	return out
 }
 
+// current returns the list that the agent of a dispatcher has. It counts as known to a new process of the dispatcher from
+// the start on, also if the agent is silent. complete is false if the agent has no list, or has to be asked for it.
+func (a *agent) current() (list []judge.Member, complete bool) {
+	if a.register != nil || len(a.feed.log) == 0 || a.view != nil && !a.complete {
+		return nil, false
+	}
+	return a.members(whole(a.feed.log)), true
+}
+
 // members are entries as the judge has them.
 func members(list []entry) (out []judge.Member) {
 	for _, e := range list {
--- a/internal/sim/dispatcher.go
+++ b/internal/sim/dispatcher.go
@@ -92,6 +92,9 @@
 	}
 	d.f.tell(judge.Started{Dispatcher: d.name})
 	d.f.tell(judge.Listed{Dispatcher: d.name, Whole: true, Members: members(whole(d.f.first))})
+	if members, complete := d.agent.current(); complete {
+		d.f.tell(judge.Listed{Dispatcher: d.name, Whole: true, Members: members})
+	}
 	d.agent.boots()
 	cfg := d.config()
 	cfg.Interceptors = d.f.parts(d)
--- a/membership/partnerlist/watch.go
+++ b/membership/partnerlist/watch.go
@@ -16,10 +16,10 @@
 	watchWait   = 10 * time.Second // how long discovery may hold a watch call until there are changes
 	watchMargin = 2 * time.Second  // no response this long after watchWait means that discovery or the network is down
 
-	// fullListTimeout is the timeout for a full list. One discovery service may serve all dispatchers one after another,
+	// defaultFullListTimeout is the timeout for a full list if no other is set. One discovery service may serve all dispatchers one after another,
 	// and its response may come seconds late. An abandoned call costs it as much as a completed one, and a new call would
 	// not be answered sooner.
-	fullListTimeout = 6 * time.Second
+	defaultFullListTimeout = 6 * time.Second
 
 	// minCallInterval is the minimum time between the starts of two calls if the first brought no changes. Discovery keeps
 	// a watch only if the next call comes within 200 ms of a response, so this must stay well below that.
@@ -35,15 +35,18 @@
 	// discovery service may serve all dispatchers.
 	Random func() float64
 
-	agent                         *agent
-	log                           *slog.Logger
-	report                        func(*List, error) bool
-	wait, margin, fullListTimeout time.Duration
+	// FullListTimeout is the timeout for a full list. It may be set before Start.
+	FullListTimeout time.Duration
+
+	agent        *agent
+	log          *slog.Logger
+	report       func(*List, error) bool
+	wait, margin time.Duration
 }
 
 // NewWatch creates a watch of the list that the agent at addr (host:port) provides.
 func NewWatch(h host.Host, addr string, log *slog.Logger) *Watch {
-	return &Watch{agent: newAgent(h, addr), log: log, wait: watchWait, margin: watchMargin, fullListTimeout: fullListTimeout}
+	return &Watch{agent: newAgent(h, addr), log: log, wait: watchWait, margin: watchMargin, FullListTimeout: defaultFullListTimeout}
 }
 
 // Start starts a goroutine that runs until Close, or until tell returns false. It must be called once. The goroutine calls
@@ -76,7 +79,7 @@
 			current, known, schedule = p, false, subscription.Subscription{Random: w.Random}
 		}
 		schedule.StartCall(w.agent.host.Now()) // always true, since the pause has passed
-		path, limit := "/api/targets", w.fullListTimeout
+		path, limit := "/api/targets", w.FullListTimeout
 		if known {
 			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", after, w.wait.Milliseconds())
 			limit = w.wait + w.margin
