After a reload that moved discovery, calls are held if no list comes from there in 4 s

What the agent at a new address has counts as told 4 s after SIGHUP. While it was silent the dispatcher went on by the list of the old address, for as long as the silence lasted. Not seen in service; found by reading every path that sets or keeps a list. Evidence: TestNoCallsByTheOldAddressesListWhenTheNewOneIsSilent, a call to the draining endpoint 4.5 s after the reload, before. Change: subscription.Confirmation decides, without I/O; engine.Members.Unconfirmed has endpoints of a source get no new call until its next full list; what the node does about lists is in lists.go. Only where lists are pushed. The log says so. Why not at once: for 4 s the old list counts, and most agents answer in milliseconds. Tests: the one above, TestConfirmation, the engine's script unconfirmed-list-holds.

--- a/engine/event.go
+++ b/engine/event.go
@@ -114,7 +114,10 @@
 	FullList bool
 	Cached   bool // with FullList: from before this process started, so perhaps out of date
 	Failed   bool // the source can't be reached; its earlier claims stay, and List is empty
-	List     []Member
+	// Unconfirmed says that endpoints may have begun to drain that the source's last list has as active. They get no new
+	// calls until its next full list. List is empty.
+	Unconfirmed bool
+	List        []Member
 }
 
 // Member is one endpoint as a source reports it.
--- a/engine/member.go
+++ b/engine/member.go
@@ -100,6 +100,10 @@
 		e.queueEvent(control.Event{Kind: control.List, ListKind: control.ListFailed})
 		return
 	}
+	if l.Unconfirmed {
+		e.holdSource(l.Source)
+		return
+	}
 	if l.FullList { // it replaces earlier reports of its source
 		e.reports = slices.DeleteFunc(e.reports, func(o *report) bool {
 			old := o.number == 0 && o.Source == l.Source
@@ -118,6 +122,24 @@
 	}
 }
 
+// holdSource gives the endpoints of a source no new calls until its next full list.
+func (e *Engine) holdSource(source string) {
+	var entries []control.Entry
+	for _, ep := range e.allEndpoints {
+		c := ep.claimOf(source)
+		if c == nil || c.phase != Active {
+			continue
+		}
+		c.phase = Leaving
+		if e.updatePhase(ep); ep.entry() != ep.lastEntry {
+			entries = append(entries, ep.updateEntry())
+		}
+	}
+	if len(entries) > 0 {
+		e.queueEvent(control.Event{Kind: control.List, ListKind: control.ListDelta, Entries: entries})
+	}
+}
+
 // processReports processes the next part of the pending reports, if this tick has not had one yet.
 func (e *Engine) processReports() {
 	tick := e.now.At / e.settings.Control.Tick
--- a/engine/script_test.go
+++ b/engine/script_test.go
@@ -372,7 +372,7 @@
 		ev = &RestoredEnd{ID: m.ID, Disposition: Disposition(at(dispositions, field["how"])), Until: wall(field["until"]), Fingerprint: m.Fingerprint()}
 	case "restored-last":
 		ev = &RestoreComplete{LatestTimestamp: wall(field["written"])}
-	case "members": // members source [whole] [cached] [failed] id:dest[:phase[:addr]] ...
+	case "members": // members source [whole] [cached] [failed] [unconfirmed] id:dest[:phase[:addr]] ...
 		l := &Members{Source: arg(0)}
 		for _, w := range plain[min(1, len(plain)):] {
 			switch w {
@@ -382,6 +382,8 @@
 				l.Cached = true
 			case "failed":
 				l.Failed = true
+			case "unconfirmed":
+				l.Unconfirmed = true
 			default:
 				p := append(strings.Split(w, ":"), "", "", "")
 				m := Member{ID: p[0], Destination: num(p[1]), Addr: "host-" + p[0], Phase: Active, Kind: num(field["kind"])}
@@ -467,7 +469,7 @@
 		for _, w := range []struct {
 			on   bool
 			word string
-		}{{ev.FullList, " whole"}, {ev.Cached, " cached"}, {ev.Failed, " failed"}} {
+		}{{ev.FullList, " whole"}, {ev.Cached, " cached"}, {ev.Failed, " failed"}, {ev.Unconfirmed, " unconfirmed"}} {
 			if w.on {
 				s += w.word
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	httptransport "curlewmux/internal/transport/http"
 	"curlewmux/internal/wire"
 	"curlewmux/membership/partnerlist"
+	"curlewmux/membership/subscription"
 )
 
 // stopSchedule holds the times after SIGTERM at which the steps of a planned stop begin. The platform sends SIGKILL
@@ -37,8 +38,6 @@
 }
 
 const (
-	firstListTimeout    = time.Second            // wait for discovery's first list before clients are accepted without it
-	pushedListTimeout   = 2 * time.Second        // wait for a list of an agent on this machine, which answers at once unless it is silent
 	typicalMessageBytes = 256                    // size in the journal that the warning about limits.disk_mb assumes
 	abortTimeout        = 200 * time.Millisecond // wait for aborted calls to end
 )
@@ -49,8 +48,9 @@
 	cfg  *Config
 	log  *slog.Logger
 
-	requests host.Inbox // *Config (reload), stopRequest, serveEnded, listReceived
-	unlisted bool       // ready, but no list has come from discovery yet
+	requests     host.Inbox                // *Config (reload), stopRequest, serveEnded, listReceived, holdDue
+	unlisted     bool                      // ready, but no list has come from discovery yet
+	confirmation subscription.Confirmation // of the list, after discovery has moved
 
 	clock       engine.Clock
 	driver      *driver.Driver
@@ -73,9 +73,8 @@
 }
 
 type (
-	stopRequest  struct{}
-	listReceived struct{}
-	serveEnded   struct{ err error }
+	stopRequest struct{}
+	serveEnded  struct{ err error }
 )
 
 // New creates a dispatcher that runs on h. From then on Stop and Reload may be called from any goroutine.
@@ -244,45 +243,6 @@
 	return journal.OSDir(n.cfg.State)
 }
 
-// Members implements engine.MembershipReceiver. It passes a list on to the driver and reports to awaitFirstList that a
-// list has arrived.
-func (n *Node) Members(m *engine.Members) bool {
-	ok := n.driver.Members(m)
-	if !m.Failed {
-		n.requests.Put(listReceived{})
-	}
-	return ok
-}
-
-// awaitFirstList waits for the first list from discovery, for firstListTimeout at most. Without that list the dispatcher
-// starts from the cached one, which may be old: endpoints may have begun to drain since. Where lists are pushed, it
-// therefore accepts messages but makes no calls before the first list (engine.Settings.HoldUntilListed).
-func (n *Node) awaitFirstList() error {
-	until := n.host.Now().Add(firstListTimeout)
-	for {
-		list := n.requests.Take(nil, until)
-		if len(list) == 0 {
-			n.unlisted = true
-			n.log.Warn("discovery has sent no list since the start", "makes_calls", !n.cfg.listsArePushed())
-			return nil
-		}
-		for i, v := range list {
-			switch v := v.(type) {
-			case listReceived:
-				n.requeue(list[i+1:])
-				return nil
-			case serveEnded:
-				return v.err
-			case stopRequest:
-				n.requeue(list[i:])
-				return nil
-			case *Config:
-				n.reload(v)
-			}
-		}
-	}
-}
-
 // requeue puts back requests that were taken from the inbox but not handled.
 func (n *Node) requeue(list []any) {
 	for _, v := range list {
@@ -349,10 +309,9 @@
 					return v.err, false
 				}
 			case listReceived:
-				if n.unlisted {
-					n.unlisted = false
-					n.log.Info("discovery has sent the first list")
-				}
+				n.listReceived(v)
+			case holdDue:
+				n.holdIfOverdue()
 			case stopRequest:
 				if until.IsZero() {
 					n.requeue(list[i+1:])
@@ -390,8 +349,7 @@
 		n.cfg.Settings.Instances = now
 		n.driver.Post(&engine.Fleet{Instances: now})
 	}
-	moved := n.watch.SetAddress(next.Discovery)
-	n.notices.SetAddress(next.Discovery)
+	moved := n.moveDiscovery(next.Discovery)
 	n.log.Info("configuration reloaded", "discovery", next.Discovery, "moved", moved)
 }
 
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"curlewmux/membership/partnerlist"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +11,9 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
+
+	"curlewmux/membership/partnerlist"
 )
 
 // reconfigure replaces the configuration file of a running program and sends SIGHUP.
@@ -63,6 +65,36 @@
 	}
 }
 
+// What the agent at a new address has counts as known 4 s after the reload. If it is silent until then, no endpoint is called by
+// the list of the old address any more, as endpoints may have begun to drain. They were called until an answer came.
+func TestNoCallsByTheOldAddressesListWhenTheNewOneIsSilent(t *testing.T) {
+	t.Parallel()
+	w := newTestEnv(t)
+	e := w.endpoint("e", 3, "hooks", respond(200))
+	cmd := w.spawn()
+	w.submit("free", "before", 3)
+	w.awaitCalls("before", 1)
+
+	v := newTestEnv(t) // a second discovery agent, which knows that the endpoint drains
+	e.Phase = "leaving"
+	v.setEntry(e)
+	v.update(func() { v.blockWatch = true })
+	w.reconfigure(cmd, strings.Replace(string(w.config()), w.agentAddr, v.agentAddr, 1))
+	reloaded := time.Now()
+	w.submit("free", "in-time", 3)
+	w.awaitCalls("in-time", 1)
+	waitFor(t, func() bool { return time.Since(reloaded) > 4500*time.Millisecond })
+	w.submit("free", "held", 3)
+	time.Sleep(500 * time.Millisecond) // a call would come within a few ticks
+	if n := w.called("held"); n > 0 {
+		t.Errorf("%d calls to an endpoint that drains", n)
+	}
+	v.setEntry(w.endpoint("f", 3, "hooks", respond(200)))
+	v.update(func() { v.blockWatch = false })
+	w.awaitCalls("held", 1)
+	w.awaitEmpty()
+}
+
 // A faulty file changes nothing, and the log names the setting at fault.
 func TestReloadOfFaultyFile(t *testing.T) {
 	t.Parallel()
