A flush removes obsolete segments before it looks for room, so a full folder goes on

Cause: a segment whose copies were synced became obsolete, and obsolete segments were removed behind a successful write only. In a full folder the write failed for want of the room they held, and flush returned before cleanUp. Change: flush calls cleanUp first, and at its end for what is left of the two removals that it may make. Test: TestAFullFolderGoesOnAfterASync; before: "no end is accepted after a sync: the store has no room".

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -553,6 +553,7 @@
 }
 
 func (j *Journal) flush() (engine.Batch, error) {
+	removed := j.cleanUp(removalsPerFlush) // the write may need the room of segments that a sync has made obsolete
 	j.refillSpare()
 	j.forgetExpired()
 	if len(j.heldObsolete) > 0 && j.used()+j.reserve(0) > j.diskLimit() {
@@ -588,7 +589,7 @@
 			return j.storedBatch, fmt.Errorf("journal: %w", err)
 		}
 	}
-	j.cleanUp()
+	j.cleanUp(removalsPerFlush - removed)
 	return j.storedBatch, nil
 }
 
@@ -631,8 +632,8 @@
 	j.obsolete = append(j.obsolete, f.obsolete...)
 }
 
-// cleanUp closes complete segments, and removes obsolete ones.
-func (j *Journal) cleanUp() {
+// cleanUp closes complete segments, and removes some obsolete ones. It returns how many it has removed.
+func (j *Journal) cleanUp(maxRemovals int) (removed int) {
 	for len(j.retired) > 0 && j.retired[0].lastWrite <= j.syncedWrite {
 		s := j.retired[0]
 		if err := s.file.Close(); err != nil {
@@ -641,7 +642,7 @@
 		s.file = nil
 		j.retired = j.retired[1:]
 	}
-	for range min(removalsPerFlush, len(j.obsolete)) {
+	for removed < maxRemovals && len(j.obsolete) > 0 {
 		s := j.obsolete[0]
 		if s.file != nil { // not synced yet
 			break
@@ -652,10 +653,12 @@
 		}
 		j.obsoleteBytes -= blocks(s.diskSize)
 		j.obsolete = j.obsolete[1:]
+		removed++
 	}
 	if j.graceLimit > 0 && j.used()+j.reserve(0) <= j.settings.Disk {
 		j.graceLimit = 0
 	}
+	return removed
 }
 
 // write writes buf to the end of the newest segment, or to a new one. After an error nothing of it counts.
--- a/internal/journal/sync_test.go
+++ b/internal/journal/sync_test.go
@@ -574,6 +574,79 @@
 	must(t, appendNew(j))
 }
 
+// Guards against a journal that never accepts a record again. Between two syncs nothing is removed, so the folder may fill up
+// to its limit. The sync that follows makes segments obsolete. They were removed only behind a successful write, for which
+// there was no room any more.
+func TestAFullFolderGoesOnAfterASync(t *testing.T) {
+	t.Parallel()
+	for _, disk := range []int64{journal.MinDisk, 100 << 10, 300_000, 1e6} {
+		for seed := range uint64(6) {
+			d := memdir.New()
+			j, _, run := openSyncedOnDisk(t, d, journal.SyncInterval, disk)
+			rng := rand.New(rand.NewPCG(seed, 1))
+			var live []string
+			n, filled := 0, 0
+			accept := func() error {
+				n++
+				id := fmt.Sprint("m", n)
+				err := j.put(acceptedOfSize(id, 1+rng.IntN(int(disk/100))))
+				if err == nil {
+					live = append(live, id)
+				}
+				return err
+			}
+			end := func() error {
+				err := j.put(ended(live[0]))
+				if err == nil {
+					live = live[1:]
+				}
+				return err
+			}
+			for range 30 { // each time filled without a sync until not even the end of a message finds room
+				for accept() == nil {
+				}
+				for len(live) > 0 && end() == nil {
+					for range 40 {
+						if j.put(&engine.RecLedgerLeaf{Number: uint64(rng.IntN(3)), Text: make([]byte, 200)}) != nil {
+							break
+						}
+					}
+				}
+				if len(live) > 0 {
+					filled++
+				}
+				run()
+				for tries := 0; len(live) > 0; {
+					if err := end(); err == nil {
+						tries = 0
+					} else if tries++; tries > 20 {
+						t.Fatalf("disk of %d, seed %d: no end is accepted after a sync: %v", disk, seed, err)
+					}
+					if tries > 0 {
+						run()
+					}
+				}
+				run()
+				var err error
+				for range 20 {
+					if err = accept(); err == nil {
+						break
+					}
+					j.Flush()
+					run()
+				}
+				if err != nil {
+					t.Fatalf("disk of %d, seed %d: no message is accepted although all have ended: %v", disk, seed, err)
+				}
+			}
+			if why := j.CheckTable(); why != "" {
+				t.Error(why)
+			}
+			t.Logf("disk of %d, seed %d: filled up %d times", disk, seed, filled)
+		}
+	}
+}
+
 // Guards against a journal that never accepts a message again. Each failed sync makes the journal copy all live
 // content and keep obsolete segments meanwhile. If there is no room for the copies, the obsolete segments must not be
 // kept for good.
