The rate served before a told wait is taken as of that wait, not of the last delivery

Cause: a meter read right after the event that it counts is too high by one event in its memory, 0.1 a second. For rare traffic that is as much as the traffic itself, for each dispatcher. Change: keepServedRate is given the time; a told wait gives its own. That is an ordinary gap after the last delivery.

--- a/control/control.go
+++ b/control/control.go
@@ -604,7 +604,7 @@
 			d.now+event.RetryAfter+d.settings.Tick)
 		if event.RetryAfter > d.settings.OverloadFor { // no rate limit: it is shut, and cold afterwards
 			current.endpoint.limit.opensAt = current.endpoint.limit.toldWaitUntil
-			d.keepServedRate(current.endpoint.destination)
+			d.keepServedRate(current.endpoint.destination, d.now)
 			d.startRamps(current.endpoint, current.endpoint.limit.opensAt)
 		}
 	}
@@ -826,10 +826,11 @@
 }
 
 // keepServedRate keeps the rate that a destination served before an outage, by which the ramps after it are
-// sized. Rates measured while an endpoint is unhealthy are lower and don't count.
-func (d *Dispatcher) keepServedRate(dest *destination) {
+// sized, as of the time given. Right after a delivery the rate of rare traffic is measured too high. Rates
+// measured while an endpoint is unhealthy are lower and don't count.
+func (d *Dispatcher) keepServedRate(dest *destination, at Time) {
 	if !slices.ContainsFunc(dest.endpoints, d.unhealthy) {
-		dest.rateBeforeOutage = dest.served.rate(dest.served.at)
+		dest.rateBeforeOutage = dest.served.rate(at)
 	}
 }
 
@@ -848,7 +849,7 @@
 	if ep.suspect {
 		return
 	}
-	d.keepServedRate(ep.destination)
+	d.keepServedRate(ep.destination, ep.destination.served.at)
 	ep.suspect, ep.downSince, ep.ramp = true, d.now, pace.NewBucket(d.now, d.random())
 	if ep.nextTrialAt, ep.trialInterval = d.now, d.responseTimeout(ep.destination); ep.provenDown {
 		ep.nextTrialAt += Time(d.random() * float64(ep.trialInterval))
--- a/control/returning_fleet_test.go
+++ b/control/returning_fleet_test.go
@@ -253,9 +253,12 @@
 // earned tokens all through the wait.
 func TestFleetSpreadsItsCallsAfterAToldWait(t *testing.T) {
 	t.Parallel()
-	for _, c := range []struct{ size, endpoints int }{{30, 1}, {100, 1}, {30, 2}} {
+	for _, c := range []struct {
+		size, endpoints int
+		perMember       float64 // messages a second of one dispatcher
+	}{{30, 1, 0.36}, {100, 1, 0.36}, {30, 2, 0.36}, {300, 1, 0.1}} {
 		for _, untold := range []float64{0, 0.05, 0.5} {
-			f := &returningFleet{size: c.size, arrivalRate: 0.36 * float64(c.size), slots: 2, batch: 10, endpoints: c.endpoints,
+			f := &returningFleet{size: c.size, arrivalRate: c.perMember * float64(c.size), slots: 2, batch: 10, endpoints: c.endpoints,
 				down: 10 * second, outage: shutFor(untold)}
 			f.checkLoad(t, fmt.Sprintf("%+v, %v of the refusals without a wait", c, untold))
 		}
