--- a/internal/sim/past_test.go
+++ b/internal/sim/past_test.go
@@ -24,6 +24,8 @@
 	"early-answer-believed":           "a connection for each call does most of the work; together with the guard before it was seed 584",
 	"surplus-forgotten":               "the round trip does most of the work; together with the guard before it was seed 584",
 	"void-kept-though-full":           "seed 10996 found it, and 1752 of an earlier form: it takes syncs that fail over and over",
+	"cached-list-believed":            "seed 4028 found it: it takes an agent that is silent at a start and a drain from before",
+	"obsolete-removed-after-a-write":  "seed 519918 found it: it takes a folder that is full when a sync ends",
 	"wait-lost-with-its-address":      "seed 7489 found it: it takes a wait told in the moment between a takeover and its telling",
 }
 
