--- a/control/api.go
+++ b/control/api.go
@@ -137,6 +137,7 @@
 	Cancelled            // aborted while it was out
 	Moot                 // ended before anything was written
 	Unsent               // never left this process: not counted as an attempt, and nothing is learned from it
+	Unreadable           // a response began but could not be read to its end: the attempt may still be running
 )
 
 // NeverRan reports whether a result proves that the attempt had no effect.
--- a/control/control.go
+++ b/control/control.go
@@ -568,7 +568,7 @@
 		if !msg.inDoubt {
 			msg.inDoubt, msg.doubtSince, msg.doubtZone = true, call.sentAt, call.endpoint.zone
 		}
-		if msg.key != nil && event.Result != Errored {
+		if msg.key != nil && event.Result != Errored { // only after an error response the attempt is over
 			msg.key.blockedUntil, msg.key.doubtful = d.now+d.settings.SettleAfterDoubt, msg
 		}
 	}
@@ -654,9 +654,11 @@
 		d.recordFailure(ep, call, true)
 	case TimedOut, Reset:
 		d.recordFailure(ep, call, false)
-	case Errored:
+	case Errored, Unreadable:
 		ep.lastResponseAt = d.now
-		d.recordError(ep)
+		if event.Result == Errored {
+			d.recordError(ep)
+		}
 		if ep.errorStreak++; ep.errorStreak >= errorStreakLimit {
 			d.recordFailure(ep, call, false)
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -399,6 +399,21 @@
 	}
 }
 
+// A response that can't be read to its end leaves open if the attempt is still running, so the key rests as after a reset. It
+// was taken for an error response, and the next message went at once.
+func TestKeyRestsAfterAnUnreadableResponse(t *testing.T) {
+	r := newHarness(t, testSettings(), listEntry(1, 0, 0), listEntry(1, 1, 0))
+	r.wantSent(r.step(0, r.keyedArrival(9), r.keyedArrival(9)), 1)
+	r.wantSent(r.step(second/10, outcomeOf(1, 0, Unreadable)), 1) // the retry is not delayed
+	r.wantSent(r.step(second/10, outcomeOf(1, 1, OK)))
+	if got := sentMessages(r.advance(2800 * Millisecond)); len(got) > 0 {
+		t.Errorf("sent %v while the key rests", got)
+	}
+	if got := sentMessages(r.advance(200 * Millisecond)); !slices.Equal(got, []MessageID{2}) {
+		t.Errorf("sent %v after the rest, want 2", got)
+	}
+}
+
 func TestFailedHeadKeepsItsTurnUntilItsOutcome(t *testing.T) {
 	r := newHarness(t, testSettings(), listEntry(1, 0, 0))
 	r.wantSent(r.step(0, r.keyedArrival(9), r.keyedArrival(9)), 1)
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -130,6 +130,9 @@
 	}
 }
 
+// calledResults are the results of attempts that were made.
+var calledResults = []Result{OK, Errored, Refused, TimedOut, ConnectFailed, Reset, Cancelled, Unreadable}
+
 func playRandomEvents(t *testing.T, seed int64) {
 	rng := rand.New(rand.NewSource(seed))
 	set := testSettings()
@@ -147,7 +150,7 @@
 		var events []Event
 		for dest := 1; dest <= 4; dest++ { // destinations fail and recover
 			if rng.Intn(300) == 0 {
-				failing[dest] = Result(rng.Intn(int(Moot)))
+				failing[dest] = calledResults[rng.Intn(len(calledResults))]
 			}
 		}
 		if round == 0 || rng.Intn(100) == 0 {
--- a/engine/script_test.go
+++ b/engine/script_test.go
@@ -248,7 +248,7 @@
 	phases       = []string{"gone", "leaving", "active"}
 	dispositions = []string{"", "delivered", "refused", "failed", "over", "withdrawn"}
 	verdictKinds = []string{"", "taken", "busy", "unnamed", "conflict", "spent", "unsure", "invalid"}
-	results      = []string{"ok", "errored", "full", "timed-out", "connect-failed", "reset", "cancelled", "moot", "unsent"}
+	results      = []string{"ok", "errored", "full", "timed-out", "connect-failed", "reset", "cancelled", "moot", "unsent", "unreadable"}
 )
 
 func index(list []string, s string) (int, error) {
--- a/internal/sim/breaks.go
+++ b/internal/sim/breaks.go
@@ -69,6 +69,7 @@
 		{Name: "ramp-forgotten", Rule: returning, About: "a cold endpoint gets full load at once", Config: func(c *node.Config) {
 			c.Settings.ColdFrom, c.Settings.WarmUp, c.Settings.TipMultiple = 1, 1, 1000
 		}},
+		{Name: "errors-unlearnt", Rule: returning, About: "answers with an error teach nothing of an outage", Seams: outcomes(unreadable)},
 		{Name: "outage-unseen", Rule: returning, About: "refused connections and refusals teach nothing", Seams: outcomes(unlearnt)},
 
 		{Name: "order-forgotten", Rule: order, About: "a class that asks for order gets none", Config: func(c *node.Config) {
@@ -78,6 +79,7 @@
 		}},
 		{Name: "rest-forgotten", Rule: order, About: "a key does not rest after doubt", Config: func(c *node.Config) { c.Settings.SettleAfterDoubt = 0 }},
 		{Name: "time-out-as-error", Rule: order, About: "a time-out counts as an answer with an error", Seams: outcomes(errored)},
+		{Name: "unreadable-as-error", Rule: order, About: "an answer that can't be read counts as one with an error", Seams: outcomes(errorRead)},
 
 		{Name: "wait-dropped", Rule: waits, About: "told waits are not passed on", Seams: outcomes(noWait)},
 		{Name: "wait-halved", Rule: waits, About: "half of a told wait is waited", Seams: outcomes(halfWait)},
@@ -392,6 +394,18 @@
 	}
 }
 
+func errorRead(o *engine.Outcome) {
+	if o.Result == control.Unreadable {
+		o.Result = control.Errored
+	}
+}
+
+func unreadable(o *engine.Outcome) {
+	if o.Result == control.Errored {
+		o.Result = control.Unreadable
+	}
+}
+
 func noWait(o *engine.Outcome)   { o.RetryAfter = 0 }
 func halfWait(o *engine.Outcome) { o.RetryAfter /= 2 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -209,6 +209,8 @@
 	"order-forgotten":      2,
 	"rest-forgotten":       6,
 	"time-out-as-error":    55,
+	"unreadable-as-error":  708883,
+	"errors-unlearnt":      627,
 	"wait-dropped":         2,
 	"wait-halved":          2,
 }
--- a/internal/suite/seed_test.go
+++ b/internal/suite/seed_test.go
@@ -76,7 +76,7 @@
 		} else if len(lines) > 0 {
 			t.Errorf("seed %d: %s\n%s", seed, strings.Join(lines, "\n"), text)
 		}
-		wrong, err := Daemon(s, Options{Wrong: map[control.Result]control.Result{control.Errored: control.Refused}})
+		wrong, err := Daemon(s, Options{Wrong: map[control.Result]control.Result{control.Errored: control.Refused, control.Unreadable: control.Refused}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/transport/grpc/attempt.go
+++ b/internal/transport/grpc/attempt.go
@@ -153,7 +153,7 @@
 	case !s.answered && (s.reset || s.on != nil && s.on.gone()):
 		return outcome(control.Reset)
 	}
-	return outcome(control.Errored) // the endpoint is there and has run it, or may have
+	return outcome(control.Unreadable) // the endpoint is there and has run it, may have, or is still running it
 }
 
 // answered is a partner's own status.
--- a/internal/transport/http/answer.go
+++ b/internal/transport/http/answer.go
@@ -100,7 +100,7 @@
 }
 
 // handleBatchStates reads the state of each item from the response to a batch. An item without a known state may have
-// run.
+// run, or may still be running.
 func (k *call) handleBatchStates(body []byte, common engine.Outcome) {
 	states := batchStates(body)
 	for i := range k.pending {
@@ -114,8 +114,10 @@
 			outcome.Result, outcome.Closed = control.Moot, true
 		case "spent":
 			outcome.Result = control.Moot
-		default:
+		case "failed":
 			outcome.Result = control.Errored
+		default:
+			outcome.Result = control.Unreadable
 		}
 		k.addOutcome(i, outcome)
 	}
--- a/internal/transport/http/call.go
+++ b/internal/transport/http/call.go
@@ -224,9 +224,9 @@
 		c.Close()
 		k.surplus(c, "sooner than a response can arrive")
 		k.endAll(control.Reset)
-	case errors.Is(err, http1.ErrInvalidResponse): // the endpoint is reachable and may have run the call
+	case errors.Is(err, http1.ErrInvalidResponse): // the endpoint is reachable, and may still be running the call
 		c.Close()
-		k.endAll(control.Errored)
+		k.endAll(control.Unreadable)
 	default:
 		c.Close()
 		k.endAll(control.Reset)
--- a/internal/transport/http/call_test.go
+++ b/internal/transport/http/call_test.go
@@ -62,7 +62,7 @@
 		{status("410 x"), engine.Outcome{Result: control.Moot, Closed: true}},
 		{status("503 x", "Endpoint-Load-Metrics: TEXT x0=0.5, x1=25"), engine.Outcome{Result: control.Refused, LoadReport: []float32{0.5, 25}}},
 		{"", engine.Outcome{Result: control.Reset}},
-		{"garbage\r\n\r\n", engine.Outcome{Result: control.Errored}},
+		{"garbage\r\n\r\n", engine.Outcome{Result: control.Unreadable}},
 		{"HTTP/1.1 200 OK\r\nContent-Le", engine.Outcome{Result: control.OK}},
 	} {
 		s := newTestEndpoint(t, func(conn net.Conn, _ *receivedRequest) string {
@@ -89,9 +89,9 @@
 		name, answer string
 		want         []control.Result
 	}{
-		{"each its own", "", []control.Result{control.OK, control.Errored, control.Refused, control.Moot, control.Moot, control.Errored}},
-		{"invalid JSON", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n[{]", slices.Repeat([]control.Result{control.Errored}, 6)},
-		{"incomplete body", "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n[", slices.Repeat([]control.Result{control.Errored}, 6)},
+		{"each its own", "", []control.Result{control.OK, control.Errored, control.Refused, control.Moot, control.Moot, control.Unreadable}},
+		{"invalid JSON", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n[{]", slices.Repeat([]control.Result{control.Unreadable}, 6)},
+		{"incomplete body", "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n[", slices.Repeat([]control.Result{control.Unreadable}, 6)},
 		{"all refused", status("429 x", "Retry-After: 1.5"), slices.Repeat([]control.Result{control.Refused}, 6)},
 		{"all failed", status("500 x"), slices.Repeat([]control.Result{control.Errored}, 6)},
 		{"bad request", status("400 x"), slices.Repeat([]control.Result{control.Moot}, 6)},
@@ -393,16 +393,16 @@
 		head, piece string // piece is sent repeatedly; if empty, the connection stays open and silent
 		single      control.Result
 	}{
-		"noise":                 {"\x7f\x00\x01\x02", "", control.Errored},
-		"endless noise":         {"H", "TTTTTTTTTTTTTTTTTTTTTTTTTTTTTTT", control.Errored},
-		"half a status line":    {"HTTP/1.1 20", "", control.Errored},
-		"no status code":        {"HTTP/1.1 OK\r\n\r\n", "", control.Errored},
-		"head without end":      {"HTTP/1.1 503 x\r\n" + wait, "X-A: aaaaaaaaaaaaaaaaaaaaaaaaa\r\n", control.Errored},
-		"incomplete head":       {"HTTP/1.1 429 x\r\n" + wait, "", control.Errored},
-		"negative length":       {"HTTP/1.1 429 x\r\n" + wait + "Content-Length: -3\r\n\r\n", "", control.Errored},
-		"short body":            {"HTTP/1.1 503 x\r\n" + wait + "Content-Length: 30\r\n\r\nabc", "", control.Errored},
-		"3 GB body":             {"HTTP/1.1 503 x\r\n" + wait + "Content-Length: 3000000000\r\n\r\n", strings.Repeat("x", 1000), control.Errored},
-		"endless 1xx":           {"", "HTTP/1.1 102 x\r\n\r\n", control.Errored},
+		"noise":                 {"\x7f\x00\x01\x02", "", control.Unreadable},
+		"endless noise":         {"H", "TTTTTTTTTTTTTTTTTTTTTTTTTTTTTTT", control.Unreadable},
+		"half a status line":    {"HTTP/1.1 20", "", control.Unreadable},
+		"no status code":        {"HTTP/1.1 OK\r\n\r\n", "", control.Unreadable},
+		"head without end":      {"HTTP/1.1 503 x\r\n" + wait, "X-A: aaaaaaaaaaaaaaaaaaaaaaaaa\r\n", control.Unreadable},
+		"incomplete head":       {"HTTP/1.1 429 x\r\n" + wait, "", control.Unreadable},
+		"negative length":       {"HTTP/1.1 429 x\r\n" + wait + "Content-Length: -3\r\n\r\n", "", control.Unreadable},
+		"short body":            {"HTTP/1.1 503 x\r\n" + wait + "Content-Length: 30\r\n\r\nabc", "", control.Unreadable},
+		"3 GB body":             {"HTTP/1.1 503 x\r\n" + wait + "Content-Length: 3000000000\r\n\r\n", strings.Repeat("x", 1000), control.Unreadable},
+		"endless 1xx":           {"", "HTTP/1.1 102 x\r\n\r\n", control.Unreadable},
 		"200, noise":            {"HTTP/1.1 200 OK\r\n\x00\x01 : \r\n\r\n", "", control.OK},
 		"200, head without end": {"HTTP/1.1 200 OK\r\n" + wait, "X-A: aaaaaaaaaaaaaaaaaaaaaaaaa\r\n", control.OK},
 		"200, short body":       {"HTTP/1.1 200 OK\r\n" + wait + "Content-Length: 30\r\n\r\nabc", "", control.OK},
@@ -428,8 +428,8 @@
 				t.Errorf("call with one message: outcome %+v, want %v and no other field set", o, c.single)
 			}
 			for _, o := range b.run(s.addr, b.items("b", "c")...) {
-				if o.Result != control.Errored || o.RetryAfter != 0 || o.LoadReport != nil || o.At != 0 {
-					t.Errorf("batch: outcome %+v, want an error and no other field set", o)
+				if o.Result != control.Unreadable || o.RetryAfter != 0 || o.LoadReport != nil || o.At != 0 {
+					t.Errorf("batch: outcome %+v, want %v and no other field set", o, control.Unreadable)
 				}
 			}
 			within(t, gone)
@@ -583,7 +583,7 @@
 				t.Errorf("outcomes %+v", e.outs)
 			case !batch && (o.Result == control.OK) != (e.lines > 0):
 				t.Error("the first line was reported without the outcome OK, or the other way round")
-			case (o.Result == control.Reset || o.Result == control.Errored && k.pendingCount > 0) && (o.RetryAfter != 0 || o.Closed):
+			case (o.Result == control.Reset || o.Result == control.Unreadable && k.pendingCount > 0) && (o.RetryAfter != 0 || o.Closed):
 				t.Errorf("an invalid response was trusted: outcome %+v", o)
 			case o.Result == control.TimedOut || o.Result == control.Cancelled || o.Result == control.ConnectFailed:
 				t.Errorf("outcome %v, but the endpoint responded or reset the connection", o.Result)
@@ -603,7 +603,7 @@
 		k := newCall(tr, &engine.Call{Items: []engine.Item{{ID: "a"}, {ID: "b"}, {ID: "c"}}}, e)
 		k.batch = true
 		k.handleBatchStates(body, engine.Outcome{})
-		if len(e.outs) != 3 || !json.Valid(body) && slices.ContainsFunc(e.outs, func(o engine.Outcome) bool { return o.Result != control.Errored }) {
+		if len(e.outs) != 3 || !json.Valid(body) && slices.ContainsFunc(e.outs, func(o engine.Outcome) bool { return o.Result != control.Unreadable }) {
 			t.Fatalf("body %q: outcomes %+v", body, e.outs)
 		}
 		for i, o := range e.outs {
--- a/internal/transport/http/log.go
+++ b/internal/transport/http/log.go
@@ -61,5 +61,5 @@
 var resultNames = map[control.Result]string{
 	control.OK: "ok", control.Errored: "error", control.Refused: "refused", control.TimedOut: "timed out",
 	control.ConnectFailed: "connection failed", control.Reset: "reset", control.Cancelled: "cancelled", control.Moot: "not sent",
-	control.Unsent: "unsent",
+	control.Unsent: "unsent", control.Unreadable: "unreadable",
 }
--- a/internal/transport/http/pool_test.go
+++ b/internal/transport/http/pool_test.go
@@ -447,7 +447,7 @@
 	}{
 		{"early", control.OK, 1, false}, {"late", control.OK, 1, false}, {"early", control.OK, 1, false},
 		{"refused", control.Refused, 1, false}, {"early", control.OK, 1, true},
-		{"partly", control.Errored, 2, false}, {"early", control.OK, 2, true},
+		{"partly", control.Unreadable, 2, false}, {"early", control.OK, 2, true},
 	} {
 		o := b.run(s.addr, b.items(c.id)...)[0]
 		r := within(t, s.seen)
--- a/internal/transport/mail/call.go
+++ b/internal/transport/mail/call.go
@@ -220,7 +220,7 @@
 	case errors.Is(err, errSlow):
 		r = control.TimedOut
 	case errors.Is(err, mail.ErrReply):
-		r = control.Errored
+		r = control.Unreadable
 	default:
 		r = control.Reset
 	}
--- a/internal/transport/mail/call_test.go
+++ b/internal/transport/mail/call_test.go
@@ -118,7 +118,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			expect(t, Partner{}, &standin.Server{Script: at(standin.Final, "", standin.Act{Say: say})}, 2, "errored errored")
+			expect(t, Partner{}, &standin.Server{Script: at(standin.Final, "", standin.Act{Say: say})}, 2, "unreadable unreadable")
 			want := "connect-failed connect-failed"
 			if name == "without end" || name == "over its line" || name == "another code" { // it begins with 2, and is still none
 				want = "connect-failed connect-failed"
--- a/internal/transport/mail/outcomes_test.go
+++ b/internal/transport/mail/outcomes_test.go
@@ -46,11 +46,11 @@
 	{standin.Rcpt, [5]string{"full", "moot!", "connect-failed", "connect-failed", "connect-failed"}},
 	{standin.Data, [5]string{"full", "moot!", "connect-failed", "connect-failed", "connect-failed"}},
 	{standin.Body, [5]string{"ok", "ok", "ok", "reset", "timed-out"}}, // the mail is one block, and that was begun
-	{standin.Final, [5]string{"full", "moot!", "errored", "reset", "timed-out"}},
+	{standin.Final, [5]string{"full", "moot!", "unreadable", "reset", "timed-out"}},
 	{standin.Quit, [5]string{"ok", "ok", "ok", "ok", "ok"}},
 }
 
-var names = []string{"ok", "errored", "full", "timed-out", "connect-failed", "reset", "cancelled", "moot", "unsent"}
+var names = []string{"ok", "errored", "full", "timed-out", "connect-failed", "reset", "cancelled", "moot", "unsent", "unreadable"}
 
 func nameOf(o engine.Outcome) string {
 	s := names[o.Result]
--- a/internal/transport/mail/same_test.go
+++ b/internal/transport/mail/same_test.go
@@ -26,7 +26,7 @@
 	{name: "delivered", http: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", mail: "250 ok\r\n", want: control.OK},
 	{name: "refused for now", http: "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", mail: "451 busy\r\n", want: control.Refused},
 	{name: "too many", http: "HTTP/1.1 429 Slow\r\nContent-Length: 0\r\n\r\n", mail: "452 slow\r\n", want: control.Refused},
-	{name: "an answer that is none", http: "what?\r\n\r\n", mail: "what?\r\n", want: control.Errored},
+	{name: "an answer that is none", http: "what?\r\n\r\n", mail: "what?\r\n", want: control.Unreadable},
 	{name: "dropped without an answer", drop: true, want: control.Reset},
 	{name: "silent", silent: true, want: control.TimedOut},
 	{name: "called off", silent: true, abort: true, want: control.Cancelled},
--- a/internal/transport/mail/transaction.go
+++ b/internal/transport/mail/transaction.go
@@ -423,7 +423,7 @@
 			case 2:
 				k.add(i, engine.Outcome{Result: control.OK})
 			case 3:
-				k.add(i, engine.Outcome{Result: control.Errored}) // it has no meaning here
+				k.add(i, engine.Outcome{Result: control.Unreadable}) // it has no meaning here
 			default:
 				k.no(i, "the mail", &r)
 			}
--- a/undelivered/keeper.go
+++ b/undelivered/keeper.go
@@ -153,7 +153,7 @@
 }
 
 func resultName(r control.Result) string {
-	names := [...]string{"ok", "error", "full", "timed out", "no connection", "reset", "cancelled", "not sent", "not sent"}
+	names := [...]string{"ok", "error", "full", "timed out", "no connection", "reset", "cancelled", "not sent", "not sent", "error"}
 	if int(r) < len(names) {
 		return names[r]
 	}
