control: ramps and refusals in files of their own

What a refusal means is in refusals.go now, how an endpoint returns from an outage in ramps.go, beside failing.go; the functions are moved as they were.

Result: the recorded actions of the module are the same (TestActionsAreThoseRecorded, run here with fused multiply-add off).

--- a/control/api.go
+++ b/control/api.go
@@ -1,7 +1,7 @@
 // Package control decides for one dispatcher process which message is sent to which endpoint, and when.
 //
 // A Dispatcher is given events and returns actions. It does no I/O and reads no clock. This file declares its settings,
-// events and actions; the decisions are in control.go.
+// events and actions; the decisions start in control.go.
 package control
 
 import "curlewmux/pace"
--- a/control/control.go
+++ b/control/control.go
@@ -1,6 +1,8 @@
 package control
 
-// This file holds every decision. Its constants are in tuning.go; settings, events and actions are in api.go.
+// This file holds the decisions, but for what refusals and errors mean (refusals.go, failing.go) and how an
+// endpoint returns from an outage (ramps.go). Constants are in tuning.go; settings, events and actions are in
+// api.go.
 //
 // A message arrives (handleArrival) and waits in a queue of its destination (enqueue). In each round dispatch
 // goes through the destinations in turn and sends what planSend and permits allow (send). The outcome
@@ -813,44 +815,6 @@
 	return max(ep.failureStreak, ep.limit.failureStreak) >= needed || ep.errorStreak >= errorStreakLimit
 }
 
-// startRamps starts the ramps of all endpoints that share the limit of the one given.
-func (d *Dispatcher) startRamps(ep *endpoint, returnAt Time) {
-	for _, sibling := range ep.destination.endpoints {
-		if sibling.limit == ep.limit {
-			d.startRamp(sibling, returnAt)
-		}
-	}
-}
-
-// startRamp marks an endpoint as cold and starts its ramp, as if it had returned at the time given, which may
-// lie ahead, but not before its destination opens if that is shut. The random level is the one at the return.
-// Tokens that came before it would let all dispatchers that were told the same time call at that time.
-func (d *Dispatcher) startRamp(ep *endpoint, returnAt Time) {
-	if d.setRamp(ep, returnAt); ep.rampStart <= d.now {
-		d.noteReturn(ep)
-	}
-}
-
-// setRamp does what startRamp does, but leaves no note.
-func (d *Dispatcher) setRamp(ep *endpoint, returnAt Time) {
-	returnAt = max(returnAt, ep.limit.opensAt)
-	ep.rampStart, ep.ramp = returnAt, pace.NewBucket(max(d.now, returnAt), d.random())
-}
-
-// noteReturn tells operators that an endpoint has begun its ramp.
-func (d *Dispatcher) noteReturn(ep *endpoint) {
-	d.note(ep.destination, "is back, cold: its calls rise over the warm-up")
-}
-
-// keepServedRate keeps the rate that a destination served before an outage, by which the ramps after it are
-// sized, as of the time given. Right after a delivery the rate of rare traffic is measured too high. Rates
-// measured while an endpoint is unhealthy are lower and don't count.
-func (d *Dispatcher) keepServedRate(dest *destination, at Time) {
-	if !slices.ContainsFunc(dest.endpoints, d.unhealthy) {
-		dest.rateBeforeOutage = dest.served.rate(at)
-	}
-}
-
 // recordFailure handles a call that could not connect or got no response; proven means that it can't have
 // run. Only a call sent after the last failure was known is new evidence. One failure makes the endpoint
 // suspect, so that it gets single trials only: a dispatcher with little traffic may see no second one. It
@@ -873,92 +837,6 @@
 	}
 }
 
-// recordRefusal handles a refusal: it cuts the allowed share and, if no wait was told, starts a backoff. A
-// refusal without a told wait that may be a random one has neither effect.
-func (d *Dispatcher) recordRefusal(ep *endpoint, call *call, toldWait Time) {
-	limit, kind := ep.limit, ep.destination.kind
-	if limit.refusedSince == 0 {
-		limit.refusedSince = d.now
-	}
-	if call.sentAt < limit.lastCutAt {
-		return
-	}
-	limit.refusedMeter.add(d.now, 1)
-	limit.endedMeter.add(d.now, 1)
-	d.learnRandomRefusals(limit, call, 1)
-	if limit.refusalStreak++; limit.refusalStreak > 1 {
-		kind.retrySuccess -= lostGain * kind.retrySuccess
-	}
-	demand := ep.destination.demand.rate(d.now)
-	if toldWait == 0 {
-		if d.refusalsTolerated(limit, demand) {
-			return
-		}
-		baseBackoff := max(min(initialBackoff, Time(maxBackoffMessages*float64(Second)/demand)),
-			Time(min(float64(d.minAim), float64(Second)/demand)/2))
-		backoff := min(baseBackoff<<min(limit.cutStreak, 6), maxBackoff)
-		limit.cutStreak++
-		limit.waitUntil = max(limit.waitUntil, d.now+backoff/2+Time(d.random()*float64(backoff)/2))
-	}
-	previousShare, refusedShare := min(limit.allowedShareAt(d.now), 1),
-		limit.refusedMeter.sum/(limit.endedMeter.sum+randomPriorCalls/2)
-	if previousShare > limit.wellBelowShare {
-		limit.cutRefusedShare = 0 // otherwise this cut has the same cause as the one before
-	}
-	limit.cutRefusedShare, limit.wellBelowShare = max(limit.cutRefusedShare, refusedShare),
-		wellBelowPart*previousShare*(1-refusedShare)
-	limit.lastCutAt, limit.wellBelowCalls, limit.refusedMeter, limit.endedMeter =
-		d.now, 0, d.newCallMeter(), d.newCallMeter()
-	limit.allowedShare, limit.shareSince =
-		max(min(previousShare*allowedShareCut, limit.wellBelowShare), minAllowedShare),
-		max(d.now, limit.waitUntil)
-	limit.tokens.Cap(d.now, d.random()) // retries have to stay within the allowed share, too
-}
-
-// refusalsTolerated reports whether there were no more refusals since the last cut than random ones explain.
-// A lower rate does not avoid those, so it is not cut for them. Risk: some more calls exceed a real limit.
-func (d *Dispatcher) refusalsTolerated(limit *rateLimit, demand float64) bool {
-	refused, ended := limit.refusedMeter.sum, limit.endedMeter.sum
-	expected := limit.randomShare * ended
-	if (expected >= minExpectedRefusals ||
-		limit.toleratedDeviations > 1 && limit.randomShare >= measuredRandomShare) &&
-		refused < expected+limit.toleratedDeviations*math.Sqrt(expected) {
-		return true
-	}
-	// Soon after a cut a few refusals prove nothing, and with many calls more is known shortly.
-	maxExpected := maxRandomShare * ended
-	soonAfterCut := ended < randomDecisionCalls && d.now-limit.lastCutAt < cutGracePeriod &&
-		demand*cutGracePeriod.Seconds() > randomDecisionCalls/2
-	return soonAfterCut && refused < 1+maxExpected+math.Sqrt(maxExpected)
-}
-
-// learnRandomRefusals estimates the share of calls that is refused however low their rate. It counts calls
-// that went at a rate well below the answered one, where a limit refuses none. If the estimate explains the
-// last cut, there is no limit.
-func (d *Dispatcher) learnRandomRefusals(limit *rateLimit, call *call, refused float64) {
-	if !call.wellBelowLimit || call.sentAt < limit.lastCutAt {
-		return
-	}
-	limit.wellBelowCalls++
-	if limit.randomShare += (refused - limit.randomShare) /
-		(limit.wellBelowCalls + randomPriorCalls); limit.randomShare > maxRandomShare {
-		limit.randomShare = 0
-	}
-	if limit.wellBelowCalls < randomDecisionCalls {
-		return
-	}
-	if limit.toleratedDeviations = randomDeviations; limit.cutRefusedShare <= randomCutFactor*limit.randomShare {
-		limit.allowedShare, limit.shareSince = unlimitedShare, d.now
-	}
-}
-
-// testsRandomRefusals reports whether calls after a cut are used to tell random refusals from a limit. The
-// backlog does not raise the rate meanwhile.
-func (d *Dispatcher) testsRandomRefusals(limit *rateLimit) bool {
-	return limit.lastCutAt > 0 && limit.wellBelowCalls < randomTestCalls &&
-		d.now-limit.lastCutAt < randomTestDuration
-}
-
 // maxIdleAge returns the age up to which an idle connection is used.
 func (d *Dispatcher) maxIdleAge(dest *destination) Time {
 	return min(d.settings.ConnIdle, Time(safeIdleShare*float64(dest.kind.safeIdle)))
@@ -1155,47 +1033,6 @@
 	}
 }
 
-// updateRamp sets the rate allowed to an endpoint that is suspect or back from an outage: its part of the
-// full rate times its warmth. The full rate is what the destination took before the outage. If that is not
-// known, it is the given one, the demand. The first call goes at a random time. So all dispatchers together,
-// however many, stay within what a cold endpoint can do and do not overload it. Risk: an endpoint suspected
-// wrongly is used less during the warm-up.
-func (d *Dispatcher) updateRamp(dest *destination, ep *endpoint, fullRate float64) {
-	if dest.rateBeforeOutage > 0 {
-		fullRate = dest.rateBeforeOutage
-	}
-	fullRate /= float64(max(dest.readyCount(), 1))
-	start, duration := ep.rampStart, d.settings.WarmUp
-	if ep.suspect && !d.cold(ep, d.now) {
-		start, duration, fullRate = ep.lastFailureAt, unseenWarmUps*d.settings.WarmUp, fullRate*trialShare
-	} else {
-		fullRate *= rampMargin
-	}
-	rise := fullRate * (1 - d.settings.ColdFrom) / max(duration, 1).Seconds()
-	rate := pace.Rate{From: fullRate*d.settings.ColdFrom + rise*d.now.Since(start).Seconds(), Rise: rise,
-		End: fullRate}
-	if ep.returnUnseen && d.cold(ep, d.now) {
-		rate = pace.Constant(fullRate * d.settings.ColdFrom)
-	}
-	ep.ramp.SetRate(d.now, start, rate, max(1, fullRate*rampBurstTicks*d.settings.Tick.Seconds()))
-}
-
-// cold reports whether an endpoint may still be cold at a time, or will return, cold, only after it.
-func (d *Dispatcher) cold(ep *endpoint, at Time) bool { return ep.rampStart != 0 && at < d.warmAt(ep) }
-
-// warmAt returns the time from which on a cold endpoint is certain to be warm.
-func (d *Dispatcher) warmAt(ep *endpoint) Time {
-	if ep.returnUnseen {
-		return ep.rampStart.After(unseenWarmUps * d.settings.WarmUp)
-	}
-	return d.warmAfter(ep.rampStart)
-}
-
-// warmAfter returns the time from which on an endpoint that returned at the time given is certain to be warm.
-func (d *Dispatcher) warmAfter(returnAt Time) Time {
-	return returnAt.After(Time(rampWarmUps * float64(d.settings.WarmUp)))
-}
-
 // initWindow gives a destination that has completed no call yet its first window: a fair share of the slots,
 // by the newest list.
 func (d *Dispatcher) initWindow(dest *destination) {
@@ -1225,11 +1062,6 @@
 	}
 }
 
-// coldFromShut reports whether the endpoints of a limit are shut, or were not long ago and may still be cold.
-func (d *Dispatcher) coldFromShut(limit *rateLimit) bool {
-	return limit.opensAt > 0 && d.now < d.warmAfter(limit.opensAt)
-}
-
 // handleLastLeft decides whether a destination is in an outage when its last endpoint has left. It is if an
 // endpoint has been failing for longer than a list may be late, or was cold. Otherwise the endpoint failed
 // because it was leaving: its replacements are healthy and have a backlog to send. Risk: an outage that
@@ -1241,14 +1073,6 @@
 	})
 }
 
-// coldSibling reports whether another endpoint with the same limit is back from an outage. Its first response
-// has reset the count of failures that they share.
-func (d *Dispatcher) coldSibling(ep *endpoint) bool {
-	return slices.ContainsFunc(ep.destination.endpoints, func(sibling *endpoint) bool {
-		return sibling != ep && sibling.limit == ep.limit && d.cold(sibling, d.now) && !sibling.suspect
-	})
-}
-
 func isSuspect(ep *endpoint) bool { return ep.suspect }
 
 // unhealthy reports whether an endpoint is suspect or cold.
