failing.go: comments and constants say how many errors it takes

The comment of errorEvidence had the number of errors twice as high as the code, and two numbers had no name. Change: comments, minErrorsToFail and maxScore; no decision is changed.

--- a/control/failing.go
+++ b/control/failing.go
@@ -12,7 +12,8 @@
 		limit.errorsSince = d.now
 	}
 	weight, failingScore := d.errorEvidence(ep)
-	limit.errorScore = min(limit.errorScore+weight, 2*failingScore)
+	maxScore := 2 * failingScore // so that a return is not doubted for long
+	limit.errorScore = min(limit.errorScore+weight, maxScore)
 	if !ep.returnUnseen { // errors of an outage say nothing about other times
 		limit.errorShare += errorShareGain * (1 - limit.errorShare)
 	}
@@ -31,15 +32,15 @@
 }
 
 // errorEvidence returns how many successes an error outweighs, and the error score that shows an outage. The score is
-// reached by as many errors as the destination gets calls within OverloadFor. A dispatcher with less traffic may see
-// only one error of an outage, so one is enough. Where errors are common, they weigh less.
+// reached by half as many errors as the destination gets calls within OverloadFor. A dispatcher that makes less than one
+// call in that time may see only one error of an outage, so one is enough. Where errors are common, they weigh less.
 func (d *Dispatcher) errorEvidence(ep *endpoint) (weight, failingScore int) {
-	calls := ep.destination.demand.rate(d.now) * d.settings.OverloadFor.Seconds() / 2
-	errors := int(min(max(calls, 2), maxErrorsToFail))
+	calls := ep.destination.demand.rate(d.now) * d.settings.OverloadFor.Seconds()
+	errors := int(min(max(calls/2, minErrorsToFail), maxErrorsToFail))
 	switch {
 	case ep.limit.errorShare >= commonErrorShare:
 		return 1, errors
-	case calls < 0.5:
+	case calls < 1:
 		return errorWeight, errorWeight
 	}
 	return errorWeight, errorWeight*errors - 1 // one of the calls may succeed
@@ -76,8 +77,8 @@
 	}
 }
 
-// maySendAfterError reports whether a call may go to a failing endpoint although the ramp does not allow it yet: the one
-// that is to show if a single error was the beginning of an outage.
+// maySendAfterError reports whether a call may go to a failing endpoint although the ramp does not allow it yet. It is the
+// one that is to show if the error that it failed by was the beginning of an outage.
 func (ep *endpoint) maySendAfterError() bool {
 	return ep.returnUnseen && ep.limit.errorScore <= errorWeight && len(ep.calls) == 0
 }
--- a/control/tuning.go
+++ b/control/tuning.go
@@ -16,7 +16,8 @@
 	// Failures and outages.
 	errorStreakLimit     = 5        // consecutive errors that make an endpoint suspect
 	errorWeight          = 2        // successes that outweigh an error
-	maxErrorsToFail      = 10       // most errors that are needed to show an outage
+	minErrorsToFail      = 2        // fewest errors that show an outage, but where there is little traffic
+	maxErrorsToFail      = 10       // most errors that are needed to show one
 	errorShareGain       = 1.0 / 64 // weight of a new call in the long-term share of errors
 	commonErrorShare     = 0.02     // from this long-term share on a single error tells nothing
 	failuresToConfirm    = 2        // consecutive failed connects or timeouts that confirm an outage
