--- a/control/control.go
+++ b/control/control.go
@@ -658,7 +658,7 @@
 		d.recordFailure(ep, call, false)
 	case Errored, Unreadable:
 		ep.lastResponseAt = d.now
-		if event.Result == Errored {
+		if event.Result == Errored { // one that can't be read is no answer of the endpoint's own to go by
 			d.recordError(ep)
 		}
 		if ep.errorStreak++; ep.errorStreak >= errorStreakLimit {
--- a/control/failing.go
+++ b/control/failing.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// maySendAfterError reports whether a call may go to a failing endpoint although the ramp does not allow it yet. It is the
-// one that is to show if the error that it failed by was the beginning of an outage.
+// maySendAfterError reports whether a call may go to a failing endpoint although the ramp does not allow it yet: after a
+// single error one call at a time shows if that was the beginning of an outage.
 func (ep *endpoint) maySendAfterError() bool {
 	return ep.returnUnseen && ep.limit.errorScore <= errorWeight && len(ep.calls) == 0
 }
--- a/control/ramps.go
+++ b/control/ramps.go
@@ -49,8 +49,9 @@
 // updateRamp sets the rate allowed to an endpoint that is suspect or back from an outage: its part of the
 // full rate times its warmth. The full rate is what the destination took before the outage. If that is not
 // known, it is the given one, the demand. The first call goes at a random time. So all dispatchers together,
-// however many, stay within what a cold endpoint can do and do not overload it. Risk: an endpoint suspected
-// wrongly is used less during the warm-up.
+// however many, stay within what a cold endpoint can do and do not overload it. The rate of a failing endpoint
+// that is not known to be back does not rise, as it may return at any time. Risk: an endpoint suspected wrongly
+// is used less during the warm-up.
 func (d *Dispatcher) updateRamp(dest *destination, ep *endpoint, fullRate float64) {
 	if dest.rateBeforeOutage > 0 {
 		fullRate = dest.rateBeforeOutage
@@ -74,7 +75,8 @@
 // cold reports whether an endpoint may still be cold at a time, or will return, cold, only after it.
 func (d *Dispatcher) cold(ep *endpoint, at Time) bool { return ep.rampStart != 0 && at < d.warmAt(ep) }
 
-// warmAt returns the time from which on a cold endpoint is certain to be warm.
+// warmAt returns the time from which on a cold endpoint is certain to be warm, or is tried like any other because
+// nothing was heard of its return.
 func (d *Dispatcher) warmAt(ep *endpoint) Time {
 	if ep.returnUnseen {
 		return ep.rampStart.After(unseenWarmUps * d.settings.WarmUp)
